Tell refused clients to come back while an answer is still of use

Retry-After was drawn from 0 to the longest time that clients follow (2.5 s), whatever the class: over a clip-fetch's aim of 0.6 s most of the time. What came back was late by then, took upstream work all the same, and crowded out requests in time. It now lies within a tenth of the class's aim.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -62,6 +62,9 @@
   private static final int ROOM_LEAST = 2;
   /** A request without an upstream is held for this part of its aim, then refused: still early. */
   private static final double HOLD_PART = 0.3;
+  /** A refused client is told to come back within this part of its aim: its retries fit into what is left. One
+   * that comes past the aim is work without worth, and crowds out the others. */
+  private static final double BACK_PART = 0.1;
   /** Held requests tried in vain after an outcome: bounds the work where nothing has room. */
   private static final int HELD_TRIES = 4;
   /** An upstream is silent after this many times the usual time between its answers, and this part of the
@@ -188,7 +191,7 @@
     Window key = windowOf(endpoint + ' ' + request.key());
     Open r = new Open(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
     if (open.size() >= settings.limits().maxOpen() || !admit(r)) {
-      out.accept(new Refuse(request.id(), retryAfter()));
+      out.accept(new Refuse(request.id(), retryAfter(r)));
       return;
     }
     open.put(request.id(), r);
@@ -275,8 +278,10 @@
     return Math.min(HINT_MOST, Math.max(1 / HINT_MOST, hint / usualHint));
   }
 
-  private long retryAfter() {
-    long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterNanos() : 0;
+  /** Full jitter, or those refused together would come back together. */
+  private long retryAfter(Open r) {
+    double most = settings.limits().retryAfter()
+        ? Math.min(settings.limits().maxRetryAfterNanos(), BACK_PART * r.type.aimNanos()) : 0;
     return (long) (most * random.nextDouble());
   }
 
@@ -468,7 +473,7 @@
   }
 
   private void finish(Open r) {
-    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter()) : new Fail(r.request.id()));
+    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter(r)) : new Fail(r.request.id()));
     release(r);
   }
 
--- a/src/test/java/cloverpulley/AdmissionTest.java
+++ b/src/test/java/cloverpulley/AdmissionTest.java
@@ -3,11 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.Balancer.Action;
 import cloverpulley.Balancer.DedupScope;
 import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Refuse;
 import cloverpulley.Balancer.Status;
 import cloverpulley.Balancer.Tenant;
 import cloverpulley.Window.Metric;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -70,6 +73,25 @@
     assertTrue(refusedShare(d, 600, 30, 700 * Driver.MS, Status.SERVED) > 0.2);
   }
 
+  /** Told to come back anywhere in the longest time that a client follows, most came back past their aim. */
+  @Test
+  void aRefusedClientIsToldToComeBackWhileAnAnswerIsStillOfUse() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    refusedShare(d, 600, 30, 700 * Driver.MS, Status.SERVED);
+    List<Long> waits = new ArrayList<>();
+    for (int i = 0; i < 600; i++) {
+      for (Action action : d.request(d.nextId(), "c", "k" + i % 50)) {
+        if (action instanceof Refuse refuse) {
+          waits.add(refuse.retryAfterNanos());
+        }
+      }
+      d.serveFor(700 / 30 * Driver.MS, Status.SERVED, 700 * Driver.MS);
+    }
+    assertTrue(waits.size() > 50, "refused: " + waits.size());
+    waits.forEach(wait -> assertTrue(wait <= 40 * Driver.MS, "of an aim of 400 ms: " + wait));
+    assertTrue(waits.stream().distinct().count() > waits.size() / 2, "spread, or all come back at once");
+  }
+
   /** Guards work inside a quota: with few out, a slow dependency is not an overload of its making. */
   @Test
   void noRefusalInsideAQuotaWhileNoMoreIsOutThanUsual() {
