--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -62,8 +62,8 @@
   private static final int ROOM_LEAST = 2;
   /** A request without an upstream is held for this part of its aim, then refused: still early. */
   private static final double HOLD_PART = 0.3;
-  /** A refused client is told to come back within this part of its aim: its retries fit into what is left. One
-   * that comes past the aim is work without worth, and crowds out the others. */
+  /** A refused client is told to come back within this part of its aim: its retries fit into what is left.
+   * One that comes past the aim is work without worth, and crowds out the others. */
   private static final double BACK_PART = 0.1;
   /** Held requests tried in vain after an outcome: bounds the work where nothing has room. */
   private static final int HELD_TRIES = 4;
