--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -1,6 +1,7 @@
 package cloverpulley.serve;
 
 import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -41,6 +42,7 @@
   final long deadline;
   final List<Attempt> attempts = new ArrayList<>(1);
   String id;
+  long takenAt;
   Future<?> guard;
   int outstanding;
   private final FullHttpRequest request;
@@ -52,6 +54,9 @@
     final int number;
     final long sentAt;
     Call call;
+    /** How it ended and how long that took; no status while it is out. */
+    Status status;
+    long latency;
 
     Attempt(int number, long sentAt) {
       this.number = number;
--- a/src/main/java/cloverpulley/serve/Fleet.java
+++ b/src/main/java/cloverpulley/serve/Fleet.java
@@ -35,6 +35,12 @@
     return server == null ? null : server.address();
   }
 
+  /** Its name on the list; its number in hex for one that has left. */
+  String name(long upstream) {
+    Server server = servers.get(upstream);
+    return server == null ? Long.toHexString(upstream) : server.id();
+  }
+
   boolean isReady(long upstream) {
     Server server = servers.get(upstream);
     return server != null && server.state() == State.READY;
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -24,6 +24,7 @@
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Balancer.Watch;
 import cloverpulley.serve.Exchange.Attempt;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -68,6 +69,7 @@
   private final UpstreamPool pool;
   private final ListSource lists;
   private final PeerSender peers;
+  private final Trail trail;
   private final Map<String, Exchange> exchanges = new HashMap<>();
   /** The clients' ids of the same. */
   private final Set<String> traceIds = new HashSet<>();
@@ -102,6 +104,7 @@
     this.pool = pool;
     this.lists = lists;
     this.peers = peers;
+    trail = new Trail(fleet::name);
     module = modules.apply(generation);
   }
 
@@ -110,6 +113,7 @@
   /** A client's request has come in whole. */
   void take(Exchange x) {
     x.id = "r" + taken++;
+    x.takenAt = clock.now();
     exchanges.put(x.id, x);
     traceIds.add(x.traceId);
     x.guard = loop.schedule(() -> overdue(x), x.deadline + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
@@ -130,7 +134,7 @@
 
   private void overdue(Exchange x) {
     if (!x.isEnded()) {
-      x.answer(HttpResponseStatus.GATEWAY_TIMEOUT, 0, null, Unpooled.EMPTY_BUFFER);
+      answer(x, HttpResponseStatus.GATEWAY_TIMEOUT, 0, null, Unpooled.EMPTY_BUFFER);
       clientGone(x);
     }
   }
@@ -166,7 +170,7 @@
   void failAll() {
     for (Exchange x : List.copyOf(exchanges.values())) {
       if (!x.isEnded()) {
-        x.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, null, Unpooled.EMPTY_BUFFER);
+        answer(x, HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, null, Unpooled.EMPTY_BUFFER);
         clientGone(x);
       }
     }
@@ -252,8 +256,10 @@
       end(a.id(), HttpResponseStatus.BAD_GATEWAY, 0);
     } else if (action instanceof SetTimer a) {
       long made = generation;
-      loop.schedule(() -> enqueue(() -> made == generation ? new TimerFired(a.token()) : null),
-          a.atNanos() - clock.now(), TimeUnit.NANOSECONDS);
+      loop.schedule(() -> {
+        trail.timer(clock.now() - a.atNanos());
+        enqueue(() -> made == generation ? new TimerFired(a.token()) : null);
+      }, a.atNanos() - clock.now(), TimeUnit.NANOSECONDS);
     } else if (action instanceof Watch a) {
       lists.watch(a.on());
     } else if (action instanceof FetchList) {
@@ -280,11 +286,16 @@
   private void end(String id, HttpResponseStatus status, long retryAfterNanos) {
     Exchange x = exchanges.get(id);
     if (x != null && !x.isEnded()) {
-      x.answer(status, retryAfterNanos, null, Unpooled.EMPTY_BUFFER);
+      answer(x, status, retryAfterNanos, null, Unpooled.EMPTY_BUFFER);
     }
     forget(x);
   }
 
+  private void answer(Exchange x, HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
+    x.answer(status, retryAfterNanos, type, content);
+    trail.answered(x, status, clock.now());
+  }
+
   private void send(Exchange x, Send send) {
     long now = clock.now();
     Attempt attempt = new Attempt(x.attempts.size(), now);
@@ -305,13 +316,16 @@
 
   private void attemptEnded(Exchange x, Attempt attempt, Status status, FullHttpResponse answer) {
     long latency = clock.now() - attempt.sentAt;
+    attempt.status = status;
+    attempt.latency = latency;
+    trail.attempted(status);
     Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
     FullHttpResponse served = status == Status.SERVED ? answer.retain() : null;
     enqueue(() -> {
       x.outstanding--;
       if (served != null) {
         if (!x.isEnded()) {
-          x.answer(HttpResponseStatus.OK, 0, served.headers().get(HttpHeaderNames.CONTENT_TYPE), served.content());
+          answer(x, HttpResponseStatus.OK, 0, served.headers().get(HttpHeaderNames.CONTENT_TYPE), served.content());
         }
         served.release();
       }
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/TrailTest.java
@@ -0,0 +1,100 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.DedupScope;
+import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Status;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class TrailTest {
+
+  private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final RequestClass TYPE =
+      new RequestClass("c", Effect.SAFE, DedupScope.ALL, 0, 400 * MS, 0, 2000 * MS, 1, 0, false);
+
+  private final List<String> lines = new ArrayList<>();
+  private final Logger logger = Logger.getLogger(Trail.class.getName());
+  private final Trail trail = new Trail(upstream -> "s-" + upstream);
+  private final Handler handler = new Handler() {
+    @Override
+    public void publish(LogRecord line) {
+      lines.add(line.getMessage());
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+  };
+
+  @BeforeEach
+  void listen() {
+    logger.addHandler(handler);
+  }
+
+  @AfterEach
+  void listenNoMore() {
+    logger.removeHandler(handler);
+  }
+
+  private static Exchange taken(String id, long at) {
+    Exchange x = new Exchange(id, TYPE, null, null, 0, false, at + 2000 * MS,
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), (status, wait, type, content) -> { });
+    x.takenAt = at;
+    return x;
+  }
+
+  @Test
+  void aRequestThatEndedBadlyIsToldOfWithAllItsAttempts() {
+    Exchange x = taken("t1", 0);
+    Exchange.Attempt first = new Exchange.Attempt(0, 10 * MS);
+    first.call = new Call(7, (status, answer) -> { });
+    first.status = Status.RESET;
+    first.latency = 40 * MS;
+    Exchange.Attempt second = new Exchange.Attempt(1, 60 * MS);
+    second.call = new Call(8, (status, answer) -> { });
+    x.attempts.addAll(List.of(first, second));
+    trail.answered(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
+    assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms; sent to s-7 at 10, RESET after 40; sent to s-8 at 60, out"),
+        lines);
+  }
+
+  @Test
+  void whatEndedWellOrWasRefusedAtOnceIsOnlyCounted() {
+    trail.attempted(Status.SERVED);
+    trail.attempted(Status.FULL);
+    trail.timer(3 * MS);
+    trail.answered(taken("good", 0), HttpResponseStatus.OK, 400 * MS);
+    trail.answered(taken("refused", 500 * MS), HttpResponseStatus.TOO_MANY_REQUESTS, 501 * MS);
+    trail.answered(taken("next", 1400 * MS), HttpResponseStatus.OK, 1500 * MS);
+    assertEquals(List.of("served 2, 0 of them past the aim; refused 1 at once, 0 later; failed 0; attempts 1 SERVED 1 FULL; "
+        + "loop behind by 3 ms at most"), lines);
+  }
+
+  /** On a day when all goes wrong the log takes no more of the core than on any other. */
+  @Test
+  void aBadSecondLeavesFewLines() {
+    for (int i = 0; i < 1000; i++) {
+      trail.answered(taken("t" + i, 0), HttpResponseStatus.BAD_GATEWAY, 100 * MS);
+    }
+    assertTrue(lines.size() < 10, "lines: " + lines.size());
+    trail.answered(taken("later", 1200 * MS), HttpResponseStatus.OK, 1300 * MS);
+    assertTrue(lines.get(lines.size() - 1).contains("failed 1000;"), lines.get(lines.size() - 1));
+  }
+}
