--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -56,8 +56,9 @@
   private static final double SLOW_POWER = 3;
   /** From this slowness of the best near choice a key leaves its zone: guards a zone that gets too much. */
   private static final double LEAVE_AT = 3;
-  /** Room: in-flight requests at which the mean latency would be this part of the aim (Little's law). */
-  private static final double ROOM_PART = 0.36;
+  /** Room: in-flight requests at which the mean latency would be this part of the aim (Little's law).
+   * Where the line begins: under it an upstream without a queue counts as full, and a burst finds no room. */
+  private static final double ROOM_PART = MIN_VALUE;
   /** Room never falls below this, or no upstream could show that it is idle. */
   private static final int ROOM_LEAST = 2;
   /** A request without an upstream is held for this part of its aim, then refused: still early. */
--- a/src/test/java/cloverpulley/PlacementTest.java
+++ b/src/test/java/cloverpulley/PlacementTest.java
@@ -223,6 +223,18 @@
     assertTrue(refused > 30, "refused inside 0.43 of the aim: " + refused);
   }
 
+  /** Room for less than its own latency needs held back from an upstream that had no queue, and refused in the end. */
+  @Test
+  void anUpstreamThatIsHealthyByTheLineHasRoomForWhatItServes() {
+    Driver d = new Driver(Driver.safe()).upstreams(1);
+    int waited = 0;
+    for (int i = 0; i < 600; i++) {
+      waited += Driver.sentTo(d.request(d.nextId(), "c", "k" + i % 10)) >= 0 ? 0 : 1;
+      d.serveFor(10 * Driver.MS, Status.SERVED, 170 * Driver.MS);
+    }
+    assertEquals(0, waited, "held or refused, at a latency of 0.43 of the aim");
+  }
+
   /** Guards against heavy tails: a few requests hinted as heavy fill an upstream that a count calls half empty. */
   @Test
   void hintedHeavyRequestsTakeMoreOfTheRoom() {
