Blame no upstream for the time-outs of clients that wait less than the aim

A time-out before the aim now adds its own limit, never less than the mean, and says nothing of the upstream.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -533,12 +533,19 @@
     } else if (o.status() == Status.FULL) {
       learnSlowness(u, Double.MAX_VALUE);
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
-      learnSlowness(u, (double) r.type.deadlineNanos() / r.type.aimNanos());
+      double took = (double) (now - r.arrived) / r.type.aimNanos();
+      double limit = (double) r.type.deadlineNanos() / r.type.aimNanos();
+      // A client that waits for less than the aim ends its attempts itself: no upstream is to blame for that.
+      // Guards the others: a few seconds of such clients had healthy upstreams ejected and the rest refused.
+      boolean hurried = o.status() == Status.TIMEOUT && now - a.sentAt < r.type.aimNanos();
       // A time-out adds its limit, another failure its latency and no less than the mean: quick ones must not
       // pull it down. Guards work that others could do: charged the limit, a few resets had it all refused.
-      double took = (double) (now - r.arrived) / r.type.aimNanos();
-      sample(r, o.status() == Status.TIMEOUT ? (double) r.type.deadlineNanos() / r.type.aimNanos()
+      sample(r, o.status() == Status.TIMEOUT && !hurried ? limit
           : Math.max(took, Math.max(r.endpoint.mean(now), fleet.mean(now))));
+      if (hurried) {
+        return;
+      }
+      learnSlowness(u, limit);
       if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
         long backoff = Math.min(EJECT_MOST, EJECT_FIRST << Math.min(u.ejections++, 10));
         u.ejectedUntil = now + (long) (backoff * (0.5 + random.nextDouble() / 2));
--- a/src/test/java/cloverpulley/AdmissionTest.java
+++ b/src/test/java/cloverpulley/AdmissionTest.java
@@ -1,12 +1,14 @@
 package cloverpulley;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer.Action;
 import cloverpulley.Balancer.DedupScope;
 import cloverpulley.Balancer.Effect;
 import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Request;
 import cloverpulley.Balancer.Status;
 import cloverpulley.Balancer.Tenant;
 import cloverpulley.Window.Metric;
@@ -92,6 +94,24 @@
     assertTrue(waits.stream().distinct().count() > waits.size() / 2, "spread, or all come back at once");
   }
 
+  /** Clients that wait for less than the aim had upstreams ejected, and all the others refused. */
+  @Test
+  void clientsInAHurryBlameNoUpstream() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    Driver.Sent hurried = null;
+    for (int i = 0; i < 500; i++) {
+      d.serve("k" + i % 50, 40 * Driver.MS);
+      d.step(new Request("h" + i, "c", null, "k" + i % 50, d.now + 150 * Driver.MS, 0, false));
+      d.pass(150 * Driver.MS);
+      for (Driver.Sent sent : List.copyOf(d.outstanding)) {
+        hurried = sent;
+        d.end(sent, Status.TIMEOUT, 150 * Driver.MS);
+      }
+    }
+    assertNotNull(hurried, "none was sent");
+    assertEquals(0, d.refusals.getOrDefault("r", 0), "of those that wait");
+  }
+
   /** Guards work inside a quota: with few out, a slow dependency is not an overload of its making. */
   @Test
   void noRefusalInsideAQuotaWhileNoMoreIsOutThanUsual() {
