Let a cold upstream hold no more than its warmth's part of what a warm one holds

An upstream just started had no bound of its own before its first answers: on ticket4967 several publishes reached one in the same 10 ms and took 1.9 to 2.8 s each, the whole wait of their clients. The cap of bounded load now counts by warmth.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -358,9 +358,10 @@
         && (warmth(u) >= 1 || coldTokens(u) >= 1);
   }
 
-  /** The load up to which an upstream may take a request. */
+  /** The load up to which an upstream may take a request. A cold one holds its warmth's part: as much
+   * as a warm one keeps it busy for seconds, and before its first answers nothing tells of its room. */
   private double bound(Upstream u) {
-    return Math.max(1, Math.min(Math.ceil((1 + SLACK) * (readyLoad + 1) / ready), room(u)));
+    return Math.max(1, Math.min(Math.ceil(warmth(u) * (1 + SLACK) * (readyLoad + 1) / ready), room(u)));
   }
 
   /** Little's law: answers a second times the latency wanted. Guards against bursts that wait in a queue past
--- a/src/test/java/cloverpulley/PlacementTest.java
+++ b/src/test/java/cloverpulley/PlacementTest.java
@@ -235,6 +235,29 @@
     assertEquals(0, waited, "held or refused, at a latency of 0.43 of the aim");
   }
 
+  /** A cold upstream was given as many requests as a warm one at once, and took seconds for them. */
+  @Test
+  void aColdUpstreamHoldsItsPartOfWhatAWarmOneHolds() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    for (int i = 0; i < 600; i++) {
+      d.request(d.nextId(), "c", "k" + i);
+      d.serveFor(5 * Driver.MS, Status.SERVED, 100 * Driver.MS);
+    }
+    d.list(ListKind.DELTA, new Listed(200, "a", 0, State.READY, d.now, 1));
+    long most = 0;
+    for (int i = 0; i < 400; i++) {
+      d.request(d.nextId(), "c", "n" + i);
+      most = Math.max(most, d.outstanding.stream().filter(s -> s.upstream() == 200).count());
+      d.pass(Driver.MS);
+      for (Driver.Sent sent : List.copyOf(d.outstanding)) {
+        if (sent.upstream() != 200 && d.now - sent.at() >= 40 * Driver.MS) {
+          d.end(sent, Status.SERVED, d.now - sent.at());
+        }
+      }
+    }
+    assertTrue(most >= 1 && most <= 4, "held by one at 0.3 of its capacity, where a warm one holds 8: " + most);
+  }
+
   /** Guards against heavy tails: a few requests hinted as heavy fill an upstream that a count calls half empty. */
   @Test
   void hintedHeavyRequestsTakeMoreOfTheRoom() {
