Start a cold upstream's first sends at a random point of the wait for them

A balancer of 14 may send a cold upstream some 0.16 requests a second (warmth 0.14 times 1.1 usual sends). Its bucket began empty, so that its first send came 6 s after the start; all balancers waited alike. At fault: Logic.onList, cold.tokens = 0. The budget itself stays: summed over the balancers the expected sends are warmth times the usual ones. Ruled out: budget by the trickle (2 a second over all balancers, lower still).

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -620,7 +620,9 @@
         u.failures = 0;
         u.ejections = 0;
         u.ejectedUntil = 0;
-        u.cold.tokens = 0;
+        // Anywhere in the wait for the first send: in a large fleet a balancer's part is one in seconds, and
+        // had all saved for it from here, the upstream would stand idle until they came together.
+        u.cold.tokens = random.nextDouble();
         u.cold.filledAt = now;
       }
       u.listed = e;
--- a/src/test/java/cloverpulley/PlacementTest.java
+++ b/src/test/java/cloverpulley/PlacementTest.java
@@ -8,8 +8,10 @@
 import cloverpulley.Balancer.ListKind;
 import cloverpulley.Balancer.Listed;
 import cloverpulley.Balancer.Send;
+import cloverpulley.Balancer.Settings;
 import cloverpulley.Balancer.State;
 import cloverpulley.Balancer.Status;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -87,6 +89,30 @@
     assertTrue(part > 0.1 && part < 0.3 + 0.7 * 3 / 8 + 0.1, "part of a warm one's sends: " + part);
   }
 
+  /** Each saved seconds for its first send: an upstream new to a large fleet stood idle, then got them all at once. */
+  @Test
+  void aLargeFleetsFirstSendsToAColdUpstreamAreSpreadOverTheWait() {
+    Settings one = Driver.safe();
+    Settings many = new Settings(0, 20, one.zone(), one.classes(), one.tenants(), one.limits(), one.contract(), one.prices(),
+        false, one.weightKind(), one.overShareWorth(), one.warmKeys(), one.tickNanos());
+    int[] sends = new int[4];
+    for (int balancer = 0; balancer < 20; balancer++) {
+      Driver d = new Driver(many, balancer).upstreams(10);
+      for (int i = 0; i < 420; i++) {
+        if (i == 400) {
+          d.list(ListKind.DELTA, new Listed(500, "a", 0, State.READY, d.now, 1));
+        }
+        boolean cold = d.serve("k" + balancer + i, Driver.MS) == 500;
+        sends[Math.max(0, i / 5 - 80)] += cold ? 1 : 0;
+        d.pass(99 * Driver.MS);
+      }
+    }
+    // Half a second holds 100 requests of the fleet, 9 for one of eleven upstreams, 3 to 6 for one at so much of its warmth.
+    String told = "sends to a cold upstream in each of its first half seconds: " + Arrays.toString(sends);
+    assertTrue(Arrays.stream(sends).sum() >= 5, told);
+    assertTrue(Arrays.stream(sends).max().getAsInt() <= 10, told);
+  }
+
   /** Guards against sending on to an upstream that has frozen and has not yet timed anything out. */
   @Test
   void silentUpstreamIsPassedOverAndItsRequestCopied() {
