Learn the usual in-flight as a plain mean at first, not up from none

The guard that lets work inside a quota in while no more is out than usual was closed in nearly all seconds: usual was 0.24 a upstream, frozen, though 0.45 to 0.6 were out while all was healthy (probe of admit). At fault: Logic.onSweep, a mean over 5.3 s begun at 0. Ruled out: excess over quotas (a third of the refusals, of little worth).

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -123,6 +123,7 @@
   private final Map<String, Window> windows = new LinkedHashMap<>(64, 0.75f, true);
   private final Window fleet;
   private double usualInFlight;
+  private double usualFor;
   private double usualSends;
   /** The ready upstreams by id, and the ring of which they are the members. */
   private Upstream[] owners = {};
@@ -589,7 +590,9 @@
     long failing = Arrays.stream(owners).filter(u -> u.failed(now, FAILED_KEPT) >= FAILED_MOST).count();
     distrust = failing <= PANIC_SHARE * ready;
     if (fleet.mean(now) <= MIN_VALUE) {
-      usualInFlight += (readyLoad / Math.max(1, ready) - usualInFlight) * sweep / (USUAL_WINDOWS * window);
+      // The plain mean at first: begun at none it told for seconds after a start that half as much is usual.
+      usualFor = Math.min(usualFor + sweep, USUAL_WINDOWS * window);
+      usualInFlight += (readyLoad / Math.max(1, ready) - usualInFlight) * sweep / usualFor;
     }
     usualSends = Math.max(usualSends * (1 - sweep / (double) SENDS_KEPT),
         fleet.total(now, Metric.ADMITTED) * SECOND / window / Math.max(1, ready));
--- a/src/test/java/cloverpulley/AdmissionTest.java
+++ b/src/test/java/cloverpulley/AdmissionTest.java
@@ -121,6 +121,15 @@
     assertEquals(0, refusedShare(d, "t", 300, 4, 390 * Driver.MS, Status.SERVED), 0.02);
   }
 
+  /** A balancer a second old took half of what is usual for more than that, and refused what was no overload. */
+  @Test
+  void whatIsUsualIsKnownSoonAfterAStart() {
+    Driver d = new Driver(Driver.settings(false, List.of(new Tenant("t", 1, 1000)),
+        Driver.type("c", Effect.SAFE, DedupScope.ALL))).upstreams(40);
+    refusedShare(d, "t", 250, 20, 80 * Driver.MS, Status.SERVED);
+    assertEquals(0, refusedShare(d, "t", 300, 15, 390 * Driver.MS, Status.SERVED));
+  }
+
   /** Guards against an overload from the first second, in which nothing healthy was ever seen to be usual. */
   @Test
   void withoutAHealthyTimeNothingIsUsualAndTheLineRefuses() {
