Cap a warm upstream at two requests of a balancer, not one

At fault: Logic.bound. With 0.5 out at each of 60 upstreams the cap, (1 + slack) times the mean rounded up, is one: a key whose upstream has a single request of this balancer goes to one that does not know it, and after three such it waits.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -45,6 +45,9 @@
   private static final double USUAL_STEP = 0.005;
   /** Bounded load: an upstream may hold half more than the mean of in-flight requests. */
   private static final double SLACK = 0.5;
+  /** And two always. One of many balancers has under one out at each: at a cap of one it never sends a key's
+   * second request where the first is, and half of the requests wait for upstreams that do little. */
+  private static final double CAP_LEAST = 2;
   /** A key goes to this many upstreams, and to this many times its share of all as well. */
   private static final int KEY_SPREAD = 2;
   /** How slow an upstream is against the fleet: a mean over this time, of which one sample moves this part at
@@ -374,7 +377,8 @@
   /** The load up to which an upstream may take a request. A cold one holds its warmth's part: as much
    * as a warm one keeps it busy for seconds, and before its first answers nothing tells of its room. */
   private double bound(Upstream u) {
-    return Math.max(1, Math.min(Math.ceil(warmth(u) * (1 + SLACK) * (readyLoad + 1) / ready), room(u)));
+    double least = warmth(u) < 1 ? 1 : CAP_LEAST;
+    return Math.max(least, Math.min(Math.ceil(warmth(u) * (1 + SLACK) * (readyLoad + 1) / ready), room(u)));
   }
 
   /** Little's law: answers a second times the latency wanted. Guards against bursts that wait in a queue past
