Let a cold upstream keep its keys though it is slow

What a cap of one spilled had gone to cold upstreams; their own keys had left them. At fault: Logic.place, which weighs slowness against the warm fleet's. Its warmth now stands against its slowness. The budget is as it was. Checked: the test's cold upstream at 2.5 times the latency got 7 of 200 sends, now 9 or more.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -341,8 +341,10 @@
       if (mayGoTo(r, u) && usable(u) && trusted(r, u)) {
         boolean near = u.listed.zone().equals(settings.zone());
         boolean hasRoom = u.load < bound(u);
-        // With under one in flight at each no cap tells a crowded one: a slow one keeps a part of its keys.
-        boolean keeps = hasRoom && Ring.fraction(point, u.id) * Math.pow(slowness(u), SLOW_POWER) < 1;
+        // With under one in flight at each no cap tells a crowded one: a slow one keeps a part of its keys. A
+        // cold one is slow by its warmth: that is what its budget is for, and it gets warm by what it serves.
+        double slow = slowness(u) * warmth(u);
+        boolean keeps = hasRoom && Ring.fraction(point, u.id) * Math.pow(slow, SLOW_POWER) < 1;
         if (near && keeps) {
           return u;
         }
--- a/src/test/java/cloverpulley/PlacementTest.java
+++ b/src/test/java/cloverpulley/PlacementTest.java
@@ -302,6 +302,26 @@
     }
   }
 
+  /** Slow as a cold one is, it lost its keys for that, had less than its budget, and stayed cold for longer. */
+  @Test
+  void aColdUpstreamKeepsItsKeysThoughItIsSlow() {
+    Driver d = new Driver(Driver.safe()).upstreams(5);
+    for (int i = 0; i < 1000; i++) {
+      d.serve("k" + i, 10 * Driver.MS);
+    }
+    d.list(ListKind.DELTA, new Listed(200, "a", 0, State.READY, d.now, 1));
+    int cold = 0;
+    for (int i = 0; i < 200; i++) {
+      String id = d.nextId();
+      long to = Driver.sentTo(d.request(id, "c", "k" + i));
+      d.pass(to == 200 ? 25 * Driver.MS : 10 * Driver.MS);
+      d.end(id, to, Status.SERVED, to == 200 ? 25 * Driver.MS : 10 * Driver.MS);
+      cold += to == 200 ? 1 : 0;
+    }
+    // Its even part is 33; its warmth grows from 0.3 to 0.5 meanwhile, and what it took at the latency of 2.5 others fits that.
+    assertTrue(cold >= 9, "sends to it: " + cold);
+  }
+
   /** A cold upstream was given as many requests as a warm one at once, and took seconds for them. */
   @Test
   void aColdUpstreamHoldsItsPartOfWhatAWarmOneHolds() {
