Warm up by as many requests as a balancer gets in 0.6 s, 40 to 200

At fault: Warmup, 200 requests whatever there is to serve: some 0.4 s of a core here, 0.8 s and more at the share of a core it gets. Checked, one start each some four times: 1, 40, 100 and 200 requests take some 0.5, 0.7, 0.9 and 0.9 s of a core.

--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -4,6 +4,7 @@
 import cloverpulley.Balancer.Settings;
 import cloverpulley.Balancer.State;
 import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Tenant;
 import cloverpulley.Logic;
 import cloverpulley.serve.ServerList.Server;
 import io.netty.bootstrap.Bootstrap;
@@ -49,7 +50,14 @@
 final class Warmup {
 
   /** Enough for most code on a request's way to be compiled; what is left costs clients less than a later start. */
-  static final int REQUESTS = 200;
+  static final int MOST_REQUESTS = 200;
+  /** Enough for the classes and what runs most. */
+  static final int LEAST_REQUESTS = 40;
+  /**
+   * Between them, as many as clients ask of this balancer in so many seconds. One of a large fleet has few to serve while its
+   * code is cold, and when most are restarted at once clients have nobody to go to until it is ready.
+   */
+  private static final double SECONDS = 0.6;
   /** Clients at one time, as in service: a lone one finds its upstream's connection still at rest and opens a new one each time. */
   private static final int CLIENTS = 16;
   private static final int UPSTREAMS = 4;
@@ -62,11 +70,18 @@
 
   static void run(Settings settings) {
     Count count = run(settings, MOST_MILLIS);
-    if (count.answered < REQUESTS) {
+    if (count.answered < requests(settings)) {
       LOG.info("warm-up cut short after " + count.answered + " requests");
     }
   }
 
+  /** The most where the settings do not tell how much there is to do. */
+  static int requests(Settings settings) {
+    double quotas = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
+    double own = quotas <= 0 ? MOST_REQUESTS : quotas / settings.groupSize() * SECONDS;
+    return (int) Math.max(LEAST_REQUESTS, Math.min(MOST_REQUESTS, own));
+  }
+
   /** How many requests its clients have asked, and how many of them were answered and served. */
   record Count(int asked, int answered, int served) {}
 
@@ -148,6 +163,7 @@
     private final List<RequestClass> classes;
     private final String tenant;
     private final Promise<Void> done;
+    private final int requests;
     private int asked;
     private int answered;
     private int served;
@@ -157,6 +173,7 @@
       classes = settings.classes();
       tenant = settings.tenants().isEmpty() ? "warm-up" : settings.tenants().get(0).name();
       this.done = done;
+      requests = requests(settings);
     }
 
     @Override
@@ -167,14 +184,14 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
       served += response.status().equals(HttpResponseStatus.OK) ? 1 : 0;
-      if (++answered == REQUESTS) {
+      if (++answered == requests) {
         done.trySuccess(null);
       }
       ask(context);
     }
 
     private void ask(ChannelHandlerContext context) {
-      if (over || asked == REQUESTS) {
+      if (over || asked == requests) {
         return;
       }
       RequestClass type = classes.get(asked % classes.size());
--- a/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -6,6 +6,8 @@
 import cloverpulley.Balancer.Settings;
 import cloverpulley.serve.Warmup.Count;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -19,14 +21,29 @@
   /** Bounded by the clock it made 17 of its 2,000 requests at half a core, and left the code cold. */
   @Test
   void allItsRequestsAreAnsweredHoweverLongThatTakes() throws IOException {
-    assertEquals(Warmup.REQUESTS, Warmup.run(settings(), TimeUnit.MINUTES.toMillis(1)).answered());
+    assertEquals(Warmup.MOST_REQUESTS, Warmup.run(settings(), TimeUnit.MINUTES.toMillis(1)).answered());
+  }
+
+  /** With 200 requests for each a restart of most of a large fleet was an outage of three seconds, of which these were one. */
+  @Test
+  void oneOfManyIsReadySoonerThanOneThatHasMuchToServe() throws IOException {
+    assertEquals(42, Warmup.run(shared("985", 14), TimeUnit.MINUTES.toMillis(1)).answered());
+    assertEquals(180, Warmup.requests(shared("600", 2)));
+    assertEquals(Warmup.LEAST_REQUESTS, Warmup.requests(shared("100", 14)));
+    assertEquals(Warmup.MOST_REQUESTS, Warmup.requests(shared("0", 14)), "no quota stated");
+  }
+
+  private static Settings shared(String quota, int balancers) throws IOException {
+    String text = Files.readString(Path.of("deploy/example.json")).replace("100000.0", quota)
+        .replace("\"group-size\": 1", "\"group-size\": " + balancers);
+    return Config.parse(text, Map.of()).settings();
   }
 
   /** Once cut short its clients went on for seconds, refused by a balancer whose upstream was closed. */
   @Test
   void cutShortItAsksNothingMore() throws IOException {
     Count count = Warmup.run(settings(), 0);
-    assertTrue(count.asked() < Warmup.REQUESTS, () -> "went on after its end: " + count);
+    assertTrue(count.asked() < Warmup.MOST_REQUESTS, () -> "went on after its end: " + count);
   }
 
   /** A third of its attempts was taken for broken, and its upstreams were left out: with long aims nothing is refused else. */
@@ -34,7 +51,7 @@
   void itsUpstreamsServeAll() throws IOException {
     Settings settings = Rig.config("127.0.0.1:1", Rig.list(1, true)).settings();
     Count count = Warmup.run(settings, TimeUnit.MINUTES.toMillis(1));
-    assertEquals(new Count(Warmup.REQUESTS, Warmup.REQUESTS, Warmup.REQUESTS), count);
+    assertEquals(new Count(Warmup.MOST_REQUESTS, Warmup.MOST_REQUESTS, Warmup.MOST_REQUESTS), count);
   }
 
   /** SIGKILL may come 0.7 s after the longest deadline, counted from SIGTERM: all has its answer by then. */
