Read lists by their braces, so that indented ones in a watch are not taken for broken

Seen: by reading. Stream.read told a list at every line's end; the standing test says that lists may come indented, so that each line of one failed as "not JSON" (test log: "discovery fails"), and the watch was opened anew for ever, without its news. At fault: Discovery.Stream.read and tell. Checked: the new test fails without the mend (FAILED in place of FULL). A list that is cut off would now swallow what follows while empty lines keep the silence clock from running: one that is not whole 1 s after its beginning is a failure of the watch. Netty's JsonObjectDecoder does the cutting.

--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -22,8 +22,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -44,6 +44,8 @@
    */
   private static final long SILENCE_MILLIS = 4500;
   private static final long SILENCE_CHECK_MILLIS = 250;
+  /** A list that has begun and is not whole after this is cut off: what comes next would only be taken for the rest of it. */
+  private static final long WHOLE_MILLIS = 1000;
   /** The longest answer read: a list of thousands of upstreams. */
   private static final int MOST_BYTES = 1 << 20;
 
@@ -97,9 +99,12 @@
 
     private final String uri;
     private final boolean lasting;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final Lists lists = new Lists();
     private Channel channel;
     private long heardAt = System.nanoTime();
+    /** Since when a list has been coming in that is not whole; 0 while none is. */
+    private long begunAt;
+    private boolean told;
     private Future<?> check;
     private boolean over;
 
@@ -112,7 +117,7 @@
       ChannelFuture connect = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
         @Override
         protected void initChannel(Channel made) {
-          made.pipeline().addLast(new HttpClientCodec(), Stream.this);
+          made.pipeline().addLast(new HttpClientCodec(), Stream.this, lists, new Teller());
         }
       }).connect(address);
       channel = connect.channel();
@@ -150,6 +155,8 @@
     private void checkSilence() {
       if (System.nanoTime() - heardAt > TimeUnit.MILLISECONDS.toNanos(SILENCE_MILLIS)) {
         fail("silent");
+      } else if (begunAt != 0 && System.nanoTime() - begunAt > TimeUnit.MILLISECONDS.toNanos(WHOLE_MILLIS)) {
+        fail("a list was cut off");
       }
     }
 
@@ -161,39 +168,23 @@
       } else if (!message.decoderResult().isSuccess()) {
         fail("malformed answer");
       } else if (message instanceof HttpContent content) {
-        read(content.content());
+        context.fireChannelRead(content.content().retain());
+        begunAt = !lists.partial() ? 0 : begunAt == 0 ? heardAt : begunAt;
         if (message instanceof LastHttpContent) {
           end();
         }
       }
     }
 
-    private void read(ByteBuf bytes) {
-      while (!over && bytes.isReadable()) {
-        byte b = bytes.readByte();
-        if (b != '\n' || !lasting) {
-          line.write(b);
-          if (line.size() > MOST_BYTES) {
-            fail("answer too long");
-          }
-        } else {
-          tell();
-        }
-      }
-    }
-
     private void end() {
-      if (!over && !lasting) {
-        tell();
+      if (told && !lasting) {
         stop();
       }
       fail("watch ended");
     }
 
-    private void tell() {
-      String text = line.toString(StandardCharsets.UTF_8).trim();
-      line.reset();
-      if (text.isEmpty()) {
+    private void tell(String text) {
+      if (over) {
         return;
       }
       ServerList list;
@@ -207,6 +198,7 @@
         LOG.info("discovery answers again");
         failing = false;
       }
+      told = true;
       news.accept(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
@@ -219,5 +211,31 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       fail(cause.toString());
     }
+
+    /** What is between the braces of one list, however it is laid out, goes on to be told. */
+    private final class Teller extends SimpleChannelInboundHandler<ByteBuf> {
+      @Override
+      protected void channelRead0(ChannelHandlerContext context, ByteBuf text) {
+        tell(text.toString(StandardCharsets.UTF_8));
+      }
+
+      @Override
+      public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(cause.toString());
+      }
+    }
+  }
+
+  /** Cuts an answer into its lists. Lines do not tell them apart: a list may be indented and so take many. */
+  private static final class Lists extends JsonObjectDecoder {
+
+    Lists() {
+      super(MOST_BYTES);
+    }
+
+    /** Whether a list has begun that is not whole. */
+    boolean partial() {
+      return actualReadableBytes() > 0;
+    }
   }
 }
--- a/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -59,6 +59,50 @@
     }
   }
 
+  /** Lists may come indented, over several lines, within a watch as well: each was taken for many broken ones. */
+  @Test
+  void aWatchTellsListsThatTakeSeveralLines() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(indented(Rig.list(42, true, A, Rig.member("s-b", "127.0.0.1:2", "draining")))));
+      c.write(Discoveries.chunk(""));
+      for (String line : indented(Rig.list(43, false, Rig.member("NAME", "127.0.0.1:1", "gone"))).split("\n")) {
+        c.write(Discoveries.chunk(line.replace("NAME", "s-a}{\\\"")));
+      }
+      String two = Rig.list(44, false, A);
+      c.write(Discoveries.chunk(two + two.replace("44", "45").replace("ready", "draining")));
+      c.next();
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      assertEquals("CACHED 1 READY", word(module.next(ListNews.class)));
+      assertEquals("FULL 2 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 GONE", word(module.next(ListNews.class)), "a name with braces and a quote");
+      assertEquals("DELTA 1 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 DRAINING", word(module.next(ListNews.class)), "two on one line");
+    }
+  }
+
+  private static String indented(String list) {
+    return list.replace("{", "{\n  ").replace(",\"", ",\n\n  \"").replace("}", "\n  }");
+  }
+
+  /** The empty lines go on coming, so that silence does not tell. */
+  @Test
+  void aListThatIsCutOffWithinAWatchHasFailed() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(42, false, A).substring(0, 60)));
+      while (true) {
+        c.write(Discoveries.chunk(""));
+        Thread.sleep(20);
+      }
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("FAILED 0", word(module.next(ListNews.class)));
+    }
+  }
+
   @ParameterizedTest
   @CsvSource(delimiter = '|', value = {
     "HTTP/1.1 503 Service Unavailable~Content-Length: 0~~",
