Notice a silent watch after 2.8 s and a dead new one after 1 s, and come back with backoff

At fault: Discovery.SILENCE_MILLIS, 4.5 s for a watch that has never spoken as well, checked each 250 ms; Server.news, which came back after 200 ms whatever happened before; a connection that did not come up took 2 s. Checked: lines come every 2 s, so that 2.8 s without one is no pause. A watch that is being replaced is not replaced twice. Where lists are asked for the service may be slow to answer, so the short limit holds for agents alone.

--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -39,11 +39,14 @@
 
   private static final String LIST = "/v1/servers";
   /**
-   * After this long without a byte a call has failed. Discovery writes a line every 2 s; what it should have told counts
-   * as told 6 s later, so that a watch that is silently dead has to be noticed, and replaced, before that.
+   * After this long without a byte a call has failed. Discovery writes a line every 2 s; what it should have told counts as
+   * told 6 s after it fell silent, so that a watch that is silently dead has to be noticed, and replaced, well before that:
+   * the first that takes its place may be as dead, and the next one too.
    */
-  private static final long SILENCE_MILLIS = 4500;
-  private static final long SILENCE_CHECK_MILLIS = 250;
+  static final long SILENCE_MILLIS = 2800;
+  /** An agent on this machine answers at once: a watch to it that has not begun to speak after this is dead from the start. */
+  static final long AGENT_MILLIS = 1000;
+  private static final long SILENCE_CHECK_MILLIS = 100;
   /** A list that has begun and is not whole after this is cut off: what comes next would only be taken for the rest of it. */
   private static final long WHOLE_MILLIS = 1000;
   /** The longest answer read: a list of thousands of upstreams. */
@@ -52,6 +55,7 @@
   private final Bootstrap bootstrap;
   private final LongSupplier revision;
   private final BiConsumer<ListKind, ServerList> news;
+  private final long answerMillis;
   private final JsonFactory json = new JsonFactory();
   private InetSocketAddress address;
   private Stream watch;
@@ -59,11 +63,15 @@
   private boolean watching;
   private boolean failing;
 
-  /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
-  Discovery(Bootstrap bootstrap, InetSocketAddress address, LongSupplier revision,
+  /**
+   * {@code answerMillis} is how long a call may take to begin to answer, {@code revision} the version of the list held;
+   * {@code news} is told of every answer, and of failures.
+   */
+  Discovery(Bootstrap bootstrap, InetSocketAddress address, long answerMillis, LongSupplier revision,
       BiConsumer<ListKind, ServerList> news) {
     this.bootstrap = bootstrap;
     this.address = address;
+    this.answerMillis = answerMillis;
     this.revision = revision;
     this.news = news;
   }
@@ -89,6 +97,13 @@
     }
   }
 
+  /** Watches again, if a watch is wanted and none stands. */
+  void resume() {
+    if (watching && watch == null) {
+      watch(true);
+    }
+  }
+
   @Override
   public void fetch() {
     new Stream(LIST, false).open();
@@ -102,6 +117,7 @@
     private final Lists lists = new Lists();
     private Channel channel;
     private long heardAt = System.nanoTime();
+    private boolean heard;
     /** Since when a list has been coming in that is not whole; 0 while none is. */
     private long begunAt;
     private boolean told;
@@ -143,6 +159,7 @@
     private void fail(String why) {
       if (!over) {
         stop();
+        watch = watch == this ? null : watch;
         if (!failing) {
           LOG.warning("discovery fails: " + why);
           failing = true;
@@ -153,7 +170,8 @@
 
     /** Guards against a watch that is dead without a word: TCP alone would never tell. */
     private void checkSilence() {
-      if (System.nanoTime() - heardAt > TimeUnit.MILLISECONDS.toNanos(SILENCE_MILLIS)) {
+      long patience = heard ? SILENCE_MILLIS : answerMillis;
+      if (System.nanoTime() - heardAt > TimeUnit.MILLISECONDS.toNanos(patience)) {
         fail("silent");
       } else if (begunAt != 0 && System.nanoTime() - begunAt > TimeUnit.MILLISECONDS.toNanos(WHOLE_MILLIS)) {
         fail("a list was cut off");
@@ -163,6 +181,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
       heardAt = System.nanoTime();
+      heard = true;
       if (message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK)) {
         fail("status " + response.status().code());
       } else if (!message.decoderResult().isSuccess()) {
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -17,6 +17,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
@@ -29,9 +30,13 @@
   private static final int BACKLOG = 1024;
   /** The part of the memory, one in so many, that clients' bodies may take: half of what `run` gives to buffers. */
   private static final int BODIES_PART = 16;
-  private static final int DISCOVERY_CONNECT_MILLIS = 2000;
-  /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
-  private static final long AGENT_RETRY_MILLIS = 200;
+  private static final int DISCOVERY_CONNECT_MILLIS = 1000;
+  /**
+   * Where lists are pushed nobody asks for them but this program: it comes back to its agent after this at first, and after the
+   * longer at the end, with jitter. Long enough not to spin, short enough for several tries before silence counts as told.
+   */
+  private static final long AGENT_RETRY_MILLIS = 50;
+  private static final long AGENT_RETRY_MOST_MILLIS = 400;
   /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
   private static final long ACCEPT_MILLIS = 700;
   /**
@@ -57,6 +62,7 @@
   private Peers peers;
   private Channel listener;
   private boolean pushed;
+  private int agentFailures;
   private long stopMillis;
 
   private Server() {
@@ -111,7 +117,7 @@
     pushed = !config.settings().listOnRequest();
     discovery = new Discovery(
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
-        config.discovery(), fleet::revision, this::news);
+        config.discovery(), pushed ? Discovery.AGENT_MILLIS : Discovery.SILENCE_MILLIS, fleet::revision, this::news);
     node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
     frontend = new Frontend(node, clock, sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
     node.news(ListKind.CACHED, config.known());
@@ -122,9 +128,11 @@
 
   private void news(ListKind kind, ServerList list) {
     if (kind != ListKind.FAILED || !pushed) {
+      agentFailures = 0;
       node.news(kind, list);
     } else {
-      loop.schedule(() -> discovery.watch(true), AGENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      long backoff = Math.min(AGENT_RETRY_MOST_MILLIS, AGENT_RETRY_MILLIS << Math.min(agentFailures++, 10));
+      loop.schedule(discovery::resume, ThreadLocalRandom.current().nextLong(backoff / 2, backoff), TimeUnit.MILLISECONDS);
     }
   }
 
--- a/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -12,6 +12,8 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -135,6 +137,36 @@
     }
   }
 
+  /**
+   * What silence hides counts as told after 6 s. The watch that replaces the silent one connects, and is dead as well; on this
+   * the news came after more than 9 s.
+   */
+  @Test
+  void newsBehindTwoSilentWatchesComesBeforeItCountsAsTold() throws Exception {
+    Script module = new Script((event, out) -> { });
+    AtomicInteger watches = new AtomicInteger();
+    AtomicLong silentAt = new AtomicLong();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      switch (watches.incrementAndGet()) {
+        case 1 -> {
+          c.write(Discoveries.watch(Rig.list(42, true, A)));
+          silentAt.set(System.nanoTime());
+        }
+        case 2 -> { }
+        default -> c.write(Discoveries.watch(Rig.list(43, false, Rig.member("s-a", "127.0.0.1:1", "draining"))));
+      }
+      c.ends();
+    }); Rig rig = rig(discovery, "pushed", module)) {
+      assertEquals("CACHED 1 READY", word(module.next(ListNews.class)));
+      assertEquals("FULL 1 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 DRAINING", word(module.next(ListNews.class)));
+      long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentAt.get());
+      assertTrue(tookMillis < 6000, "the news came after " + tookMillis + " ms");
+      assertEquals(3, watches.get());
+    }
+  }
+
   @Test
   void theListIsFetchedOnce() throws Exception {
     Script module = new Script((event, out) -> {
