Wait with the start for what discovery has to tell

At fault: Server.start, which listened as soon as the warm-up was over. Now the watch is opened first, the warm-up runs meanwhile, and the listening waits for the first word, 2 s at most: while discovery is down its agent is silent, and the list that was known is better than no service. Checked: without the wait the new test fails ("ready before the list came").

--- a/src/main/java/cloverpulley/serve/Main.java
+++ b/src/main/java/cloverpulley/serve/Main.java
@@ -23,7 +23,9 @@
     // Without a handler SIGHUP ends the virtual machine. One that comes early is carried out once the balancer serves.
     Signal.handle(new Signal("HUP"), signal -> started.thenAccept(s -> s.reload(() -> Config.read(environment))));
     try {
-      started.complete(Server.start(Config.read(environment)));
+      Server server = Server.prepare(Config.read(environment));
+      server.listen();
+      started.complete(server);
     } catch (IOException | RuntimeException e) {
       err.println("can't start: " + Config.complaint(e));
       return 1;
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -37,6 +37,8 @@
    */
   private static final long AGENT_RETRY_MILLIS = 50;
   private static final long AGENT_RETRY_MOST_MILLIS = 400;
+  /** A start waits no longer than this for the list: without discovery the one that was known is better than no service. */
+  private static final long LIST_MILLIS = 2000;
   /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
   private static final long ACCEPT_MILLIS = 700;
   /**
@@ -51,8 +53,10 @@
   private static final long STOP_EARLY_MILLIS = 300;
   private static final long STOP_CHECK_MILLIS = 20;
 
+  private final Config config;
   private final EventLoopGroup group;
   private final EventLoop loop;
+  private final CountDownLatch listed = new CountDownLatch(1);
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -65,37 +69,61 @@
   private int agentFailures;
   private long stopMillis;
 
-  private Server() {
+  private Server(Config config) {
+    this.config = config;
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     loop = group.next();
   }
 
   /** Starts a balancer and returns once it listens. */
   static Server start(Config config) {
-    return start(config, n -> new Logic(config.settings(), config.seed() + n));
+    Server server = prepare(config);
+    server.listen();
+    return server;
+  }
+
+  /** All of a start but listening: until then nobody is owed anything. */
+  static Server prepare(Config config) {
+    return prepare(config, n -> new Logic(config.settings(), config.seed() + n), LIST_MILLIS);
   }
 
-  /** The same around other decisions; {@code modules} makes the n-th module of this process. */
-  static Server start(Config config, LongFunction<Balancer> modules) {
-    Server server = new Server();
+  /**
+   * The same around other decisions; {@code modules} makes the n-th module of this process. Waits so long for discovery's first
+   * word: what it has told counts as told from the process's first moment, and the list that is known may be older.
+   */
+  static Server prepare(Config config, LongFunction<Balancer> modules, long listMillis) {
+    Server server = new Server(config);
     try {
+      server.loop.submit(() -> server.wire(modules)).syncUninterruptibly();
+      long listedBy = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(listMillis);
       Warmup.run(config.settings());
-      server.loop.submit(() -> server.wire(config, modules)).syncUninterruptibly();
+      if (!await(server.listed, listedBy - System.nanoTime())) {
+        LOG.warning("discovery says nothing: the list that was known has to do");
+      }
+    } catch (RuntimeException e) {
+      server.shutDown();
+      throw e;
+    }
+    return server;
+  }
+
+  /** Opens it to clients and to other balancers. */
+  void listen() {
+    try {
       if (config.peerListen() != null && config.settings().limits().peers()) {
-        server.peers.listen(server.group, config.peerListen(), server.node).syncUninterruptibly();
+        peers.listen(group, config.peerListen(), node).syncUninterruptibly();
       }
-      server.listener = server.frontend.listen(new ServerBootstrap().group(server.group)
+      listener = frontend.listen(new ServerBootstrap().group(group)
           .channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
           .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true), config.listen())
           .syncUninterruptibly().channel();
-      server.loop.submit(server.frontend::ready).syncUninterruptibly();
+      loop.submit(frontend::ready).syncUninterruptibly();
     } catch (RuntimeException e) {
-      server.shutDown();
+      shutDown();
       throw e;
     }
-    LOG.info(() -> config.name() + " serves at " + server.address() + ", " + config.known().members().size()
+    LOG.info(() -> config.name() + " serves at " + address() + ", " + config.known().members().size()
         + " upstreams known");
-    return server;
   }
 
   /** How long after SIGTERM all that is in hand gets its answer. Guards against a SIGKILL that short deadlines bring early. */
@@ -104,7 +132,7 @@
     return Math.min(MOST_DEADLINE_MILLIS, TimeUnit.NANOSECONDS.toMillis(longest)) + KILL_MILLIS - STOP_EARLY_MILLIS;
   }
 
-  private void wire(Config config, LongFunction<Balancer> modules) {
+  private void wire(LongFunction<Balancer> modules) {
     stopMillis = stopMillis(config.settings());
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
@@ -127,6 +155,9 @@
   }
 
   private void news(ListKind kind, ServerList list) {
+    if (kind != ListKind.FAILED) {
+      listed.countDown();
+    }
     if (kind != ListKind.FAILED || !pushed) {
       agentFailures = 0;
       node.news(kind, list);
@@ -147,9 +178,9 @@
    */
   void reload(Source source) {
     try {
-      Config config = source.read();
-      loop.execute(() -> discovery.move(config.discovery()));
-      LOG.info(() -> "configuration read again, discovery at " + config.discovery());
+      InetSocketAddress to = source.read().discovery();
+      loop.execute(() -> discovery.move(to));
+      LOG.info(() -> "configuration read again, discovery at " + to);
     } catch (IOException | RuntimeException e) {
       LOG.warning("configuration not taken, the one before stays: " + Config.complaint(e));
     }
@@ -161,19 +192,20 @@
 
   /** Waits for the start of {@link #stop}. */
   void awaitStopping() {
-    await(stopping);
+    await(stopping, Long.MAX_VALUE);
   }
 
   /** Waits for the end of {@link #stop}. */
   void await() {
-    await(stopped);
+    await(stopped, Long.MAX_VALUE);
   }
 
-  private static void await(CountDownLatch latch) {
+  private static boolean await(CountDownLatch latch, long nanos) {
     try {
-      latch.await();
+      return latch.await(nanos, TimeUnit.NANOSECONDS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+      return false;
     }
   }
 
@@ -190,7 +222,7 @@
       }, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS), TimeUnit.MILLISECONDS);
       loop.schedule(node::failAll, stopMillis, TimeUnit.MILLISECONDS);
     });
-    await(drained);
+    await(drained, Long.MAX_VALUE);
     shutDown();
     LOG.info("stopped");
     stopped.countDown();
--- a/src/test/java/cloverpulley/serve/Rig.java
+++ b/src/test/java/cloverpulley/serve/Rig.java
@@ -9,6 +9,7 @@
 import cloverpulley.Balancer.Outcome;
 import cloverpulley.Balancer.Request;
 import cloverpulley.Balancer.Send;
+import cloverpulley.Logic;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -115,11 +116,13 @@
   final Server server;
 
   Rig(Config config, Balancer module) throws IOException {
-    server = Server.start(config, n -> module);
+    server = Server.prepare(config, n -> module, 0);
+    server.listen();
   }
 
   Rig(Config config) {
-    server = Server.start(config);
+    server = Server.prepare(config, n -> new Logic(config.settings(), config.seed() + n), 0);
+    server.listen();
   }
 
   Client client() throws IOException {
--- a/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -1,16 +1,24 @@
 package cloverpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
 import cloverpulley.Balancer.Settings;
+import cloverpulley.Balancer.State;
+import cloverpulley.serve.Rig.Script;
 import cloverpulley.serve.Warmup.Count;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class StartStopTest {
 
@@ -62,4 +70,54 @@
     assertTrue(Server.stopMillis(brief) < 1940 + 700);
     assertTrue(Server.stopMillis(Config.parse(text, Map.of()).settings()) < 3000 + 700);
   }
+
+  private static final String A = Rig.member("s-a", "127.0.0.1:1", "ready");
+
+  private static Config pushed(StubServer discovery) throws IOException {
+    return Rig.config(discovery.address(), Rig.list(1, true, A), "pushed", 200, 1024, "");
+  }
+
+  /**
+   * What discovery has counts as told from a process's first moment. A start that did not wait for it sent its first requests
+   * to what the old list still called ready.
+   */
+  @Test
+  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  void aStartWaitsForWhatDiscoveryHasToTell() throws Exception {
+    Script module = new Script((event, out) -> { });
+    CountDownLatch prepared = new CountDownLatch(1);
+    AtomicBoolean early = new AtomicBoolean();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      early.set(prepared.await(Discovery.AGENT_MILLIS / 2, TimeUnit.MILLISECONDS));
+      c.write(Discoveries.watch(Rig.list(2, false, Rig.member("s-a", "127.0.0.1:1", "draining"))));
+      c.ends();
+    })) {
+      Server server = Server.prepare(pushed(discovery), n -> module, TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      prepared.countDown();
+      assertEquals(ListKind.CACHED, module.next(ListNews.class).kind());
+      assertEquals(State.DRAINING, module.next(ListNews.class).entries().get(0).state());
+      server.shutDown();
+    }
+    assertFalse(early.get(), "ready before the list came");
+  }
+
+  /** Discovery is down: its agent is silent, and the service goes on with what was known. */
+  @Test
+  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  void withoutDiscoveryItStartsWithTheListThatWasKnown() throws Exception {
+    Script module = new Script(TimeUnit.SECONDS.toNanos(30));
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.ends();
+    })) {
+      Server server = Server.prepare(pushed(discovery), n -> module, 100);
+      server.listen();
+      try (Rig.Client client = new Rig.Client(server)) {
+        assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
+      } finally {
+        server.shutDown();
+      }
+    }
+  }
 }
