--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
 
@@ -56,6 +57,7 @@
   private final Config config;
   private final EventLoopGroup group;
   private final EventLoop loop;
+  private final AtomicBoolean stopBegun = new AtomicBoolean();
   private final CountDownLatch listed = new CountDownLatch(1);
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
@@ -209,8 +211,12 @@
     }
   }
 
-  /** Takes what still comes for a while, answers all that was taken, and returns when no client is left. */
+  /** Takes what still comes for a while, answers all that was taken, and returns when no client is left. Once: again it waits. */
   void stop() {
+    if (!stopBegun.compareAndSet(false, true)) {
+      await();
+      return;
+    }
     LOG.info("stopping");
     loop.execute(() -> {
       frontend.stopping();
--- a/src/test/java/cloverpulley/JarIT.java
+++ b/src/test/java/cloverpulley/JarIT.java
@@ -1,12 +1,15 @@
 package cloverpulley;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -110,6 +113,43 @@
     }
   }
 
+  /** Told to end while it still waits for discovery, it ends, and no client ever came to it. */
+  @Test
+  void sigtermBeforeItListensEndsItAtOnce() throws IOException, InterruptedException {
+    try (ServerSocket discovery = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      Process process = serve(Files.readString(Path.of("deploy/example.json"))
+          .replace("127.0.0.1:8500", "127.0.0.1:" + discovery.getLocalPort()));
+      try (Socket silent = discovery.accept()) {
+        assertTrue(silent.isConnected());
+        process.destroy();
+        assertTrue(process.waitFor(1, TimeUnit.MINUTES), "ends");
+        assertEquals(0, process.exitValue(), text("err"));
+        assertFalse(text("err").contains("serves at"), text("err"));
+      } finally {
+        process.destroyForcibly();
+      }
+    }
+  }
+
+  /** The second signal finds the end begun, and changes nothing. */
+  @Test
+  void sigtermTwiceIsOneEnd() throws IOException, InterruptedException {
+    Process process = serve(Files.readString(Path.of("deploy/example.json")));
+    try {
+      awaitLine(process, "serves at");
+      process.destroy();
+      awaitLine(process, "stopping");
+      process.destroy();
+      hangUp(process);
+      assertTrue(process.waitFor(1, TimeUnit.MINUTES), "ends");
+      assertEquals(0, process.exitValue(), text("err"));
+      assertEquals(1, text("err").lines().filter(l -> l.endsWith("stopped")).count(), text("err"));
+      assertFalse(text("err").contains("Exception"), text("err"));
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   private static void hangUp(Process process) throws IOException, InterruptedException {
     assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
   }
