Carry out reloads in the order in which their files were read

Seen: by reading. Each signal has a thread of its own: of two at once the first could read its file, lose the core, and move discovery back to an address that takes no new connections after the second had moved it on. At fault: Server.reload. Checked: the new test, in which the second signal's reload comes while the first has read and not yet acted, fails without the mend.

--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -176,9 +176,9 @@
 
   /**
    * Reads the configuration again and follows discovery to where it says; all else waits for a restart. One that can't be
-   * read changes nothing.
+   * read changes nothing. One at a time: each signal has its thread, and what was read first must not be carried out last.
    */
-  void reload(Source source) {
+  synchronized void reload(Source source) {
     try {
       InetSocketAddress to = source.read().discovery();
       loop.execute(() -> discovery.move(to));
--- a/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer.ListKind;
@@ -120,4 +121,28 @@
       }
     }
   }
+
+  /** A signal each has a thread of its own: the file that was read first must not be carried out last. */
+  @Test
+  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  void ofTwoReloadsAtOnceTheLaterFileHolds() throws Exception {
+    try (StubServer old = new StubServer(StubServer.Connection::next);
+        StubServer next = new StubServer(StubServer.Connection::next);
+        StubServer last = new StubServer(StubServer.Connection::next);
+        Rig rig = new Rig(pushed(old), new Script((event, out) -> { }))) {
+      Thread second = new Thread(() -> rig.server.reload(() -> pushed(last)));
+      rig.server.reload(() -> {
+        second.start();
+        // The second signal's thread has either carried out its file, or waits for this one to be through.
+        while (second.getState() != Thread.State.BLOCKED && second.getState() != Thread.State.TERMINATED) {
+          Thread.onSpinWait();
+        }
+        return pushed(next);
+      });
+      second.join();
+      // Carried out last it would be watched from here on: its agents end every watch, and each end brings the next one.
+      last.requests.clear();
+      assertNotNull(last.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+    }
+  }
 }
