See clients leave while nothing is read of them, and answer those that only end their sending

At fault: Frontend.Connection.channelRead0 switched reading off once a second request waited, and with it the sight of the client's end; next() then sent that request on for nobody. And the other way round: the end of the sending was taken for the client's leaving, Frontend.channelInactive, so that one who still listened got no answer for a request that had run. Now reading goes on (what is too much is dropped unread, as before), an end of the sending is told as such, and: what is out may still bring its answer; a connection that is not up is waited for 0.2 s more; what waits for an upstream or its turn is answered 503, or 500 if it may have run; nothing is sent again. A reset is a leaving as before. AttemptTest.aCancelledAttemptClosesItsConnection took an end of the sending for a leaving; it now resets, which is one.

--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -45,6 +45,8 @@
   long takenAt;
   Future<?> guard;
   int outstanding;
+  /** Its client has ended its sending: nothing is started for it any more. */
+  boolean left;
   private final FullHttpRequest request;
   private final Reply reply;
   private boolean ended;
@@ -92,6 +94,15 @@
     }
   }
 
+  /** Whether an attempt has been written whole and has not ended. */
+  boolean isSent() {
+    return attempts.stream().anyMatch(a -> a.status == null && a.call.written);
+  }
+
+  boolean mayHaveRun() {
+    return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : !a.status.provesNotRun());
+  }
+
   void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
     abandon();
     reply.answer(status, retryAfterNanos, contentType, content);
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
@@ -172,6 +173,9 @@
     /** Bytes of the body of the request that is served. */
     private int size;
     private Exchange exchange;
+    /** The client has ended its sending, and when. */
+    private boolean left;
+    private long leftAt;
 
     Connection(Channel channel) {
       this.channel = channel;
@@ -210,16 +214,38 @@
       if (!busy) {
         take(request);
       } else if (early.size() < MOST_EARLY) {
+        // Reading goes on: only so is it seen that the client leaves.
         early.add(request.retain());
-        channel.config().setAutoRead(false);
       } else {
-        // Guards the memory: switching off reading alone does not stop what the decoder has already.
+        // Guards the memory.
         FullHttpRequest last = early.peekLast();
         last.setDecoderResult(DecoderResult.failure(new TooLongFrameException("too many requests at once")));
         deaf = true;
       }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (event instanceof ChannelInputShutdownEvent) {
+        inputEnded();
+      }
+      context.fireUserEventTriggered(event);
+    }
+
+    /** The client sends no more. It has gone, or waits for the answers to what it has sent: which, only an answer will tell. */
+    private void inputEnded() {
+      if (!busy || clients.is(this, State.LEAVING)) {
+        close();
+        return;
+      }
+      deaf = true;
+      left = true;
+      leftAt = clock.now();
+      if (exchange != null) {
+        node.clientLeft(exchange);
+      }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       clients.remove(this);
@@ -303,6 +329,8 @@
       } else if (node.isOpen(id)) {
         // Guards the client whose request it is, and its effect.
         answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
+      } else if (left && clock.now() - leftAt > Node.LEFT_NANOS) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "its client has left");
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
@@ -310,6 +338,9 @@
         exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
             "1".equals(headers.get(RETRY)), clock.now() + wait - WAY_NANOS, request.retain(), this::answer);
         node.take(exchange);
+        if (left) {
+          node.clientLeft(exchange);
+        }
       }
     }
 
@@ -348,7 +379,7 @@
       boolean keep = keepAlive && (!early.isEmpty() || !deaf && !closing);
       HttpUtil.setKeepAlive(response, keep);
       channel.writeAndFlush(response).addListener(f -> {
-        if (!f.isSuccess() || !keep && !deaf) {
+        if (!f.isSuccess() || !keep && (!deaf || left)) {
           channel.close();
         } else if (!keep) {
           leave();
@@ -361,7 +392,6 @@
     /** Guards the error on its way: to close over bytes that were not read would reset it away. */
     private void leave() {
       clients.move(this, State.LEAVING);
-      channel.config().setAutoRead(false);
       if (channel instanceof DuplexChannel duplex) {
         duplex.shutdownOutput();
       }
@@ -377,9 +407,6 @@
       } else if (channel.isActive()) {
         clients.move(this, begun ? State.READING : State.IDLE);
       }
-      if (early.isEmpty() && !deaf) {
-        channel.config().setAutoRead(true);
-      }
     }
   }
 
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -57,6 +57,8 @@
 
   /** A request without an answer gets one so long after the deadline that the module knows: a last guard. */
   private static final long GUARD_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  /** A connection for a client that has left is waited for no longer: 0.3 s after its leaving nothing may start. */
+  static final long LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   /** A probe is given up after this. */
   private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -132,6 +134,36 @@
     enqueue(() -> known(x) ? new ClientGone(x.id) : null);
   }
 
+  /**
+   * The client has ended its sending. What is out may still bring the answer that it waits for; nothing is started for it any
+   * more. Told in its turn: what came with the end of the sending is sent on first.
+   */
+  void clientLeft(Exchange x) {
+    enqueue(() -> {
+      x.left = true;
+      if (x.outstanding == 0) {
+        return withdraw(x);
+      }
+      loop.schedule(() -> enqueue(() -> withdraw(x)), LEFT_NANOS, TimeUnit.NANOSECONDS);
+      return null;
+    });
+  }
+
+  /** Ends what waits for a connection, an upstream or a retry; null where an answer is on its way. */
+  private Event withdraw(Exchange x) {
+    if (x.isEnded() || x.isSent()) {
+      return null;
+    }
+    refuse(x);
+    return new ClientGone(x.id);
+  }
+
+  /** Of one that has not run the client is told so. */
+  private void refuse(Exchange x) {
+    answer(x, x.mayHaveRun() ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.SERVICE_UNAVAILABLE, 0, null,
+        Unpooled.EMPTY_BUFFER);
+  }
+
   private void overdue(Exchange x) {
     if (!x.isEnded()) {
       answer(x, HttpResponseStatus.GATEWAY_TIMEOUT, 0, null, Unpooled.EMPTY_BUFFER);
@@ -305,7 +337,7 @@
     long left = x.deadline - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.upstream());
-    if (x.isEnded() || timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
+    if (x.isEnded() || x.left || timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
       attempt.call.end(Status.NOT_SENT, null);
     } else if (address == null) {
       attempt.call.end(Status.CONNECT_FAILED, null);
@@ -329,6 +361,9 @@
         }
         served.release();
       }
+      if (x.left && x.outstanding == 0 && !x.isEnded()) {
+        refuse(x);
+      }
       return known(x)
           ? new Outcome(x.id, attempt.number, attempt.call.upstream, status, latency, x.isEnded(), load) : null;
     });
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -117,7 +117,8 @@
       }
       listener = frontend.listen(new ServerBootstrap().group(group)
           .channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
-          .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true), config.listen())
+          .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
+          .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true), config.listen())
           .syncUninterruptibly().channel();
       loop.submit(frontend::ready).syncUninterruptibly();
     } catch (RuntimeException e) {
--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -292,6 +292,7 @@
         client.write(Rig.get("t", ""));
         assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
         connection = upstream.connections.take();
+        client.socket.setSoLinger(true, 0); // A reset: an end of the sending alone may leave a client that still listens.
       }
       assertEquals(Status.CANCELLED, module.next(Outcome.class).status());
       assertTrue(connection.ends());
