Ask right before an attempt's first byte whether it may still start

At fault: UpstreamPool.start, which wrote whatever was decided once its connection was up. News cancelled what was connecting, but not what the module, which is told after the pool, decided in between (Node.send after Node.news); and a keyed repeat whose connection came up after the time in which upstreams drop repeats was written all the same. Now the node is asked in both places: request still open, upstream still ready, repeat still in its time, client not gone too long. It takes the place of what Node.send checked for itself. Checked: the two new tests fail where the answer is always yes.

--- a/src/main/java/cloverpulley/serve/Call.java
+++ b/src/main/java/cloverpulley/serve/Call.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
 
 /** One request on its way to an upstream; it ends exactly once. */
 final class Call {
@@ -14,6 +15,7 @@
   }
 
   final long upstream;
+  private final BooleanSupplier wanted;
   private final Ended ended;
   /** The connection it is on, from when one is opened or reused until the call ends. */
   Channel channel;
@@ -22,11 +24,17 @@
   boolean written;
   private boolean done;
 
-  Call(long upstream, Ended ended) {
+  /** {@code wanted} is asked right before the first byte goes out: much may have come between that and the decision. */
+  Call(long upstream, BooleanSupplier wanted, Ended ended) {
     this.upstream = upstream;
+    this.wanted = wanted;
     this.ended = ended;
   }
 
+  boolean isWanted() {
+    return wanted.getAsBoolean();
+  }
+
   boolean isDone() {
     return done;
   }
--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -1,5 +1,6 @@
 package cloverpulley.serve;
 
+import cloverpulley.Balancer.Effect;
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Balancer.Status;
 import io.netty.buffer.ByteBuf;
@@ -45,8 +46,8 @@
   long takenAt;
   Future<?> guard;
   int outstanding;
-  /** Its client has ended its sending: nothing is started for it any more. */
-  boolean left;
+  /** When its client ended its sending; 0 while it has not. */
+  long leftAt;
   private final FullHttpRequest request;
   private final Reply reply;
   private boolean ended;
@@ -103,6 +104,17 @@
     return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : !a.status.provesNotRun());
   }
 
+  /** Until when it may be sent again: a keyed one that may have run already is dropped by its upstreams for so long only. */
+  long repeatBy() {
+    long by = Long.MAX_VALUE;
+    for (Attempt a : attempts) {
+      if (type.effect() == Effect.KEYED && (a.status == null || !a.status.provesNotRun())) {
+        by = Math.min(by, a.sentAt + type.dedupWindowNanos());
+      }
+    }
+    return by;
+  }
+
   void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
     abandon();
     reply.answer(status, retryAfterNanos, contentType, content);
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -140,7 +140,7 @@
    */
   void clientLeft(Exchange x) {
     enqueue(() -> {
-      x.left = true;
+      x.leftAt = clock.now();
       if (x.outstanding == 0) {
         return withdraw(x);
       }
@@ -331,13 +331,15 @@
   private void send(Exchange x, Send send) {
     long now = clock.now();
     Attempt attempt = new Attempt(x.attempts.size(), now);
-    attempt.call = new Call(send.upstream(), (status, answer) -> attemptEnded(x, attempt, status, answer));
+    long repeatBy = x.repeatBy();
+    attempt.call = new Call(send.upstream(), () -> isWanted(x, send.upstream(), repeatBy),
+        (status, answer) -> attemptEnded(x, attempt, status, answer));
     x.attempts.add(attempt);
     x.outstanding++;
     long left = x.deadline - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.upstream());
-    if (x.isEnded() || x.left || timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
+    if (timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
       attempt.call.end(Status.NOT_SENT, null);
     } else if (address == null) {
       attempt.call.end(Status.CONNECT_FAILED, null);
@@ -346,6 +348,15 @@
     }
   }
 
+  /**
+   * Whether an attempt may still start. Guards against a connection that comes up late, and against a decision made before the
+   * news that is told next: by then the upstream may drain, the request be over or past its repeats, or its client gone.
+   */
+  private boolean isWanted(Exchange x, long upstream, long repeatBy) {
+    long now = clock.now();
+    return !x.isEnded() && fleet.isReady(upstream) && now < repeatBy && (x.leftAt == 0 || now < x.leftAt + LEFT_NANOS);
+  }
+
   private void attemptEnded(Exchange x, Attempt attempt, Status status, FullHttpResponse answer) {
     long latency = clock.now() - attempt.sentAt;
     attempt.status = status;
@@ -361,7 +372,7 @@
         }
         served.release();
       }
-      if (x.left && x.outstanding == 0 && !x.isEnded()) {
+      if (x.leftAt != 0 && x.outstanding == 0 && !x.isEnded()) {
         refuse(x);
       }
       return known(x)
@@ -371,7 +382,7 @@
 
   private void probe(long upstream) {
     long sentAt = clock.now();
-    Call call = new Call(upstream, (status, answer) -> {
+    Call call = new Call(upstream, () -> true, (status, answer) -> {
       long latency = clock.now() - sentAt;
       Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
       enqueue(() -> new ProbeResult(upstream, status, latency, load));
--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -91,6 +91,11 @@
 
   /** Starts a call; it takes over the request. The time-out covers connecting. */
   void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
+    if (!call.isWanted()) {
+      request.release();
+      call.end(Status.NOT_SENT, null);
+      return;
+    }
     call.timeout = bootstrap.config().group().next()
         .schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), timeoutNanos, TimeUnit.NANOSECONDS);
     Connection reused = reuse(call.upstream, address);
@@ -120,6 +125,10 @@
         request.release();
         call.end(Status.CONNECT_FAILED, null);
         connect.channel().close();
+      } else if (!call.isWanted()) {
+        request.release();
+        call.end(Status.NOT_SENT, null);
+        connect.channel().close();
       } else {
         connect.channel().pipeline().get(Connection.class).write(call, request);
       }
--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -73,6 +73,17 @@
       return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /** The machine is back: the connection that was waited for comes up, at the next try of the network's, after a second. */
+    Socket accept() throws IOException {
+      while (true) {
+        Socket accepted = listener.accept();
+        if (waiting.stream().noneMatch(w -> w.getLocalPort() == accepted.getPort())) {
+          return accepted;
+        }
+        accepted.close();
+      }
+    }
+
     @Override
     public void close() throws IOException {
       for (Socket socket : waiting) {
@@ -269,6 +280,65 @@
     }
   }
 
+  /**
+   * A keyed request that may have run is dropped by its upstreams for a time, and may be repeated within it. The repeat was
+   * decided in time, and its connection came up after it: it was written all the same.
+   */
+  @Test
+  void aRepeatWhoseConnectionComesUpAfterItsTimeIsNotWritten() throws Exception {
+    try (StubServer breaking = new StubServer(StubServer.Connection::next); Silent late = new Silent()) {
+      Script module = new Script((event, out) -> {
+        if (event instanceof Request r) {
+          out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
+        } else if (event instanceof Outcome o && o.attempt() == 0) {
+          out.accept(new Send(o.id(), Discoveries.number("s-2"), 0));
+        } else if (event instanceof Outcome o) {
+          out.accept(new Fail(o.id()));
+        }
+      });
+      String text = Rig.text(NOWHERE, Rig.list(1, true, Rig.member("s-1", breaking.address(), "ready"),
+          Rig.member("s-2", late.address(), "ready")), "on_request", 1000 * Rig.LIMIT_S, 1024, "");
+      Config config = Config.parse(text.replace("\"window-ns\":2000000000", "\"window-ns\":300000000"), Map.of());
+      try (Rig rig = new Rig(config, module); Client client = rig.client()) {
+        client.write(Rig.post("t", "Idempotency-Key: k\r\n", "body"));
+        assertEquals(Status.RESET, module.next(Outcome.class).status());
+        try (Socket connection = late.accept()) {
+          assertEquals(-1, connection.getInputStream().read(), "nothing was written");
+        }
+        assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+        assertTrue(client.answer().startsWith("HTTP/1.1 502 "));
+      }
+    }
+  }
+
+  /** News is taken in before the module is told of it: what it decides in between is not carried out. */
+  @Test
+  void aSendThatWasDecidedBeforeTheNewsIsNotWrittenAfterIt() throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(2, false, Rig.member("s-1", upstream.address(), "draining"))));
+      c.ends();
+    })) {
+      List<String> parked = new ArrayList<>();
+      Script module = new Script((event, out) -> {
+        if (event instanceof Request r) {
+          parked.add(r.id());
+          out.accept(new Watch(true));
+        } else if (event instanceof ListNews n && n.kind() == ListKind.DELTA) {
+          out.accept(new Send(parked.get(0), Discoveries.number("s-1"), 0));
+        } else if (event instanceof Outcome o) {
+          out.accept(new Fail(o.id()));
+        }
+      });
+      Config config = Rig.config(discovery.address(), Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")));
+      try (Rig rig = new Rig(config, module); Client client = rig.client()) {
+        assertTrue(client.ask(Rig.get("t", "")).startsWith("HTTP/1.1 502 "));
+        assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+        assertNull(upstream.requests.poll());
+      }
+    }
+  }
+
   /** Sends, and stops waiting when the client goes. */
   private static Script cancelling() {
     return new Script((event, out) -> {
--- a/src/test/java/cloverpulley/serve/TrailTest.java
+++ b/src/test/java/cloverpulley/serve/TrailTest.java
@@ -64,11 +64,11 @@
   void aRequestThatEndedBadlyIsToldOfWithAllItsAttempts() {
     Exchange x = taken("t1", 0);
     Exchange.Attempt first = new Exchange.Attempt(0, 10 * MS);
-    first.call = new Call(7, (status, answer) -> { });
+    first.call = new Call(7, () -> true, (status, answer) -> { });
     first.status = Status.RESET;
     first.latency = 40 * MS;
     Exchange.Attempt second = new Exchange.Attempt(1, 60 * MS);
-    second.call = new Call(8, (status, answer) -> { });
+    second.call = new Call(8, () -> true, (status, answer) -> { });
     x.attempts.addAll(List.of(first, second));
     trail.answered(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
     assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms; sent to s-7 at 10, RESET after 40; sent to s-8 at 60, out"),
