End without cutting off what has come: read before closing, take on while deadlines are short

Seen: by reading. At the stop's closing of idle connections (Frontend.close) and at the descriptor limit (Clients.shed) a request that the machine had taken and the loop not yet read was closed over, which also resets the connection. Where the longest deadline was under 0.6 s the closing came before ACCEPT_MILLIS, and the process ended while new connections still came. After the last answers (Node.failAll) a request that had waited its turn was taken on and never answered; half a request held the end up. Now a connection is read once more before it is closed unasked; what is under way goes on till the stop's end and gets 503 or 408 then; the closing comes 0.55 s after SIGTERM at the earliest (new connections come for up to 0.4 s); and the end has a last moment, 0.15 s before the earliest SIGKILL, however slow the peers are. Checked: each of the three new tests fails with its part of the mend taken out.

--- a/src/main/java/cloverpulley/serve/Clients.java
+++ b/src/main/java/cloverpulley/serve/Clients.java
@@ -19,6 +19,12 @@
     void overdue();
 
     void close();
+
+    /** Reads what has come on it, and is then served if that was a request. */
+    void look();
+
+    /** Whether a close would cut something off: a request that is coming in, or an error on its way out. */
+    boolean isUnderWay();
   }
 
   /** A client is owed an error or a close 3 s after it connected if no whole request has come by then. */
@@ -65,20 +71,35 @@
 
   /** Closes the one that is missed least; false if all are being served. Closing it has to remove it. */
   boolean shed() {
-    for (State state : State.values()) {
-      if (state != State.SERVED && !since.get(state).isEmpty()) {
-        since.get(state).keySet().iterator().next().close();
-        return true;
-      }
+    return unserved().stream().anyMatch(this::closeUnasked);
+  }
+
+  /** What the machine has taken counts as taken, and a close over it would be a reset. */
+  private boolean closeUnasked(Client client) {
+    client.look();
+    if (is(client, State.SERVED)) {
+      return false;
     }
-    return false;
+    client.close();
+    return true;
+  }
+
+  /** All that are not served, in the order in which they are shed. */
+  private List<Client> unserved() {
+    List<Client> found = new ArrayList<>();
+    since.forEach((state, clients) -> {
+      if (state != State.SERVED) {
+        found.addAll(clients.keySet());
+      }
+    });
+    return found;
   }
 
   /** Ends what has gone on for too long. */
   void sweep() {
     longer(State.LEAVING, LEAVING_NANOS).forEach(Client::close);
     longer(State.READING, READING_NANOS).forEach(Client::overdue);
-    longer(State.IDLE, IDLE_NANOS).forEach(Client::close);
+    longer(State.IDLE, IDLE_NANOS).forEach(this::closeUnasked);
   }
 
   private List<Client> longer(State state, long nanos) {
@@ -93,10 +114,18 @@
     return found;
   }
 
-  /** Closes all that are owed nothing. */
-  void closeUnserved() {
-    while (shed()) {
-      // One at a time: each takes itself out.
+  /** Closes all that are owed nothing, and of which nothing is under way. */
+  void closeUnasked() {
+    for (Client client : unserved()) {
+      client.look();
+      if (!client.isUnderWay()) {
+        closeUnasked(client);
+      }
     }
   }
+
+  /** All that have begun a request have no more time for the rest of it. */
+  void hurry() {
+    List.copyOf(since.get(State.READING).keySet()).forEach(Client::overdue);
+  }
 }
--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -91,7 +91,9 @@
     if (!ended) {
       ended = true;
       request.release();
-      guard.cancel(false);
+      if (guard != null) {
+        guard.cancel(false);
+      }
     }
   }
 
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -14,6 +14,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
@@ -139,7 +140,12 @@
   /** From here on every answer closes its connection; those that are owed nothing are closed. */
   void close() {
     closing = true;
-    clients.closeUnserved();
+    clients.closeUnasked();
+  }
+
+  /** The process is about to end: who has not sent a whole request by now is told that it is too late. */
+  void end() {
+    clients.hurry();
   }
 
   boolean hasConnections() {
@@ -284,6 +290,18 @@
       channel.close();
     }
 
+    @Override
+    public void look() {
+      if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+        unsafe.read();
+      }
+    }
+
+    @Override
+    public boolean isUnderWay() {
+      return begun || clients.is(this, State.LEAVING);
+    }
+
     private void take(FullHttpRequest request) {
       busy = true;
       begun = false;
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -78,6 +78,7 @@
   /** What has happened and the module has not been told; an entry is worded when its turn comes. */
   private final ArrayDeque<Supplier<Event>> queue = new ArrayDeque<>();
   private boolean scheduled;
+  private boolean ended;
   private Balancer module;
   private long generation;
   private long taken;
@@ -116,6 +117,10 @@
   void take(Exchange x) {
     x.id = "r" + taken++;
     x.takenAt = clock.now();
+    if (ended) {
+      refuse(x);
+      return;
+    }
     exchanges.put(x.id, x);
     traceIds.add(x.traceId);
     x.guard = loop.schedule(() -> overdue(x), x.deadline + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
@@ -193,13 +198,14 @@
     return fleet.hasReady();
   }
 
-  /** Requests that are owed an answer. */
-  boolean owesAnswers() {
-    return exchanges.values().stream().anyMatch(x -> !x.isEnded());
+  /** The process is about to end: all requests in hand are answered, and what still comes is refused at once. */
+  void end() {
+    ended = true;
+    failAll();
   }
 
   /** Answers all requests in hand, without a promise. */
-  void failAll() {
+  private void failAll() {
     for (Exchange x : List.copyOf(exchanges.values())) {
       if (!x.isEnded()) {
         answer(x, HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, null, Unpooled.EMPTY_BUFFER);
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -40,8 +40,8 @@
   private static final long AGENT_RETRY_MOST_MILLIS = 400;
   /** A start waits no longer than this for the list: without discovery the one that was known is better than no service. */
   private static final long LIST_MILLIS = 2000;
-  /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
-  private static final long ACCEPT_MILLIS = 700;
+  /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer, also where deadlines are short. */
+  static final long ACCEPT_MILLIS = 550;
   /**
    * Clients go on using the connections that they have, and while this balancer is away others may be too: it serves them for
    * this long at most, and has the rest of the time for what is then in hand.
@@ -52,6 +52,8 @@
   private static final long KILL_MILLIS = 700;
   private static final long MOST_DEADLINE_MILLIS = 3000;
   private static final long STOP_EARLY_MILLIS = 300;
+  /** And the answers so long to leave. */
+  private static final long FLUSH_MILLIS = 150;
   private static final long STOP_CHECK_MILLIS = 20;
 
   private final Config config;
@@ -189,6 +191,10 @@
     }
   }
 
+  Frontend frontend() {
+    return frontend;
+  }
+
   InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
   }
@@ -226,8 +232,12 @@
       loop.schedule(() -> {
         frontend.close();
         finish();
-      }, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS), TimeUnit.MILLISECONDS);
-      loop.schedule(node::failAll, stopMillis, TimeUnit.MILLISECONDS);
+      }, Math.max(ACCEPT_MILLIS, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS)), TimeUnit.MILLISECONDS);
+      loop.schedule(() -> {
+        node.end();
+        frontend.end();
+      }, stopMillis, TimeUnit.MILLISECONDS);
+      loop.schedule(drained::countDown, stopMillis + FLUSH_MILLIS, TimeUnit.MILLISECONDS);
     });
     await(drained, Long.MAX_VALUE);
     shutDown();
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/StopTest.java
@@ -0,0 +1,112 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Request;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The end of a balancer, while clients go on sending. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class StopTest {
+
+  private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private static Config config(long deadlineMillis) throws IOException {
+    return Config.parse(Rig.text("127.0.0.1:1", Rig.list(1, true), "on_request", 200, 1024, "")
+        .replace("\"deadline-ns\":40000000000", "\"deadline-ns\":" + deadlineMillis * 1_000_000), Map.of());
+  }
+
+  private static Thread stop(Rig rig) {
+    Thread stop = new Thread(rig.server::stop);
+    stop.start();
+    rig.server.awaitStopping();
+    return stop;
+  }
+
+  private static void write(Client client, String text) {
+    try {
+      client.write(text);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static void awaitEnd(Thread stop) throws InterruptedException {
+    stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+    assertTrue(!stop.isAlive(), "ends");
+  }
+
+  /** The loop is busy while the request comes, and closes before it looks at its sockets again: that was a reset. */
+  @Test
+  void aRequestThatIsInTheKernelWhenIdleConnectionsAreClosedIsServed() throws Exception {
+    AtomicReference<Rig> started = new AtomicReference<>();
+    AtomicReference<Client> idle = new AtomicReference<>();
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        if (r.workHintNanos() > 0) {
+          write(idle.get(), Rig.get("crossing", ""));
+          started.get().server.frontend().close();
+        }
+        out.accept(new Refuse(r.id(), 0));
+      }
+    });
+    try (Rig rig = new Rig(config(40_000), module); Client client = rig.client(); Client other = rig.client()) {
+      started.set(rig);
+      idle.set(client);
+      assertTrue(client.ask(HEALTH).startsWith("HTTP/1.1 200 "));
+      assertTrue(other.ask(Rig.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
+      String answer = client.answer();
+      assertNotNull(answer, "closed over the request");
+      assertTrue(answer.startsWith("HTTP/1.1 429 ") && answer.contains("connection: close\r\n"), answer);
+      assertNull(client.answer());
+    }
+  }
+
+  /** New connections come for up to 0.4 s. Where the longest deadline was 0.3 s the process ended before that. */
+  @Test
+  void newConnectionsAreTakenAsLongWhereDeadlinesAreShort() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Refuse(r.id(), 0));
+      }
+    });
+    try (Rig rig = new Rig(config(300), module)) {
+      Thread stop = stop(rig);
+      Thread.sleep(400); // The time itself is what is tested.
+      try (Client late = rig.client()) {
+        assertTrue(late.ask(Rig.get("t", "")).startsWith("HTTP/1.1 429 "));
+      }
+      awaitEnd(stop);
+    }
+  }
+
+  /** Held to the end: what is in hand is answered, what waits behind it is refused, and half a request is told so. */
+  @Test
+  void allIsAnsweredBeforeTheEnd() throws Exception {
+    Script module = new Script((event, out) -> { });
+    try (Rig rig = new Rig(config(40_000), module); Client client = rig.client(); Client slow = rig.client()) {
+      client.write(Rig.get("t1", "") + Rig.get("t2", ""));
+      assertEquals("r0", module.next(Request.class).id());
+      Thread stop = stop(rig);
+      // Begun late enough that it is not overdue by itself.
+      Thread.sleep(2000);
+      slow.write("POST /api HT");
+      assertTrue(client.answer().startsWith("HTTP/1.1 500 "), "held");
+      assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not been tried");
+      assertTrue(slow.answer().startsWith("HTTP/1.1 408 "));
+      awaitEnd(stop);
+    }
+  }
+}
