Take a new watch for dead until its first list has come, not its first byte

At fault: Discovery.Stream.checkSilence: a watch that sends its head and then nothing had 2.8 s, so that with the 2.8 s of the one before it 5.7 of the 6 s were gone. It has 1 s now. Guarded by DiscoveryTest.newsBehindTwoSilentWatchesComesBeforeItCountsAsTold, of which the dead watch now sends its head.

--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -44,7 +44,7 @@
    * the first that takes its place may be as dead, and the next one too.
    */
   static final long SILENCE_MILLIS = 2800;
-  /** An agent on this machine answers at once: a watch to it that has not begun to speak after this is dead from the start. */
+  /** An agent on this machine answers at once: a watch to it without a first list after this is dead from the start. */
   static final long AGENT_MILLIS = 1000;
   private static final long SILENCE_CHECK_MILLIS = 100;
   /** A list that has begun and is not whole after this is cut off: what comes next would only be taken for the rest of it. */
@@ -64,7 +64,7 @@
   private boolean failing;
 
   /**
-   * {@code answerMillis} is how long a call may take to begin to answer, {@code revision} the version of the list held;
+   * {@code answerMillis} is how long a call may take to bring its first list, {@code revision} the version of the list held;
    * {@code news} is told of every answer, and of failures.
    */
   Discovery(Bootstrap bootstrap, InetSocketAddress address, long answerMillis, LongSupplier revision,
@@ -117,7 +117,6 @@
     private final Lists lists = new Lists();
     private Channel channel;
     private long heardAt = System.nanoTime();
-    private boolean heard;
     /** Since when a list has been coming in that is not whole; 0 while none is. */
     private long begunAt;
     private boolean told;
@@ -170,7 +169,7 @@
 
     /** Guards against a watch that is dead without a word: TCP alone would never tell. */
     private void checkSilence() {
-      long patience = heard ? SILENCE_MILLIS : answerMillis;
+      long patience = told ? SILENCE_MILLIS : answerMillis;
       if (System.nanoTime() - heardAt > TimeUnit.MILLISECONDS.toNanos(patience)) {
         fail("silent");
       } else if (begunAt != 0 && System.nanoTime() - begunAt > TimeUnit.MILLISECONDS.toNanos(WHOLE_MILLIS)) {
@@ -181,7 +180,6 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
       heardAt = System.nanoTime();
-      heard = true;
       if (message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK)) {
         fail("status " + response.status().code());
       } else if (!message.decoderResult().isSuccess()) {
--- a/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -153,7 +153,7 @@
           c.write(Discoveries.watch(Rig.list(42, true, A)));
           silentAt.set(System.nanoTime());
         }
-        case 2 -> { }
+        case 2 -> c.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         default -> c.write(Discoveries.watch(Rig.list(43, false, Rig.member("s-a", "127.0.0.1:1", "draining"))));
       }
       c.ends();
