--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -184,8 +184,9 @@
     for (Connection c : List.copyOf(idle.getOrDefault(upstream, new ArrayDeque<>()))) {
       if (now - c.idleSince >= REST_NANOS) {
         idle.get(upstream).remove(c);
-        if (c.channel.isActive() && c.channel.remoteAddress().equals(address) && reuse.holds(now, now - c.idleSince)
-            && c.isQuiet()) {
+        // Its age is looked at here as well: the sweep comes seldom for short idle times, and late when the loop is behind.
+        if (now - c.idleSince <= idleNanos && c.channel.isActive() && c.channel.remoteAddress().equals(address)
+            && reuse.holds(now, now - c.idleSince) && c.isQuiet()) {
           c.stoodIdle = now - c.idleSince;
           return c;
         }
--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -302,6 +302,7 @@
       try (Rig rig = new Rig(config, module); Client client = rig.client()) {
         client.write(Rig.post("t", "Idempotency-Key: k\r\n", "body"));
         assertEquals(Status.RESET, module.next(Outcome.class).status());
+        Thread.sleep(400); // The time of repeats is over before there is room for the connection.
         try (Socket connection = late.accept()) {
           assertEquals(-1, connection.getInputStream().read(), "nothing was written");
         }
@@ -420,6 +421,24 @@
     }
   }
 
+  /** Between two sweeps, or with the loop behind, one was used again that the upstream may close at that moment. */
+  @Test
+  void aConnectionThatStoodIdleForTooLongIsNotUsedAgainThoughNoSweepHasCome() throws Exception {
+    String text = Rig.text(NOWHERE, "KNOWN", "on_request", 200, 1024, "")
+        .replace("\"max-attempts\"", "\"conn-idle-ns\":40000000,\"max-attempts\"");
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x"))) {
+      Config config = Config.parse(text.replace("KNOWN", Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))),
+          Map.of());
+      try (Rig rig = new Rig(config, new Script(LONG)); Client client = rig.client()) {
+        for (int i = 0; i < 10; i++) {
+          assertTrue(client.ask(Rig.get("t" + i, "")).startsWith("HTTP/1.1 200 "));
+          Thread.sleep(45); // The time itself is what is tested; every fifth or so meets a sweep.
+        }
+      }
+      assertEquals(10, upstream.connections.size());
+    }
+  }
+
   @Test
   void moreAttemptsThanAllowedAreNotSent() throws Exception {
     Script module = new Script((event, out) -> {
