Count a request's time from when the loop should have read it

What came meanwhile lay unread, and got its whole time anew when it was read (Frontend.serve). Ruled out: bytes of bad clients (some 30 reads and 100 KB a second there), collections (27 ms), the handlers (60 ms of a second's 500). Not mended by this: an answer that is late because the loop is held up at its deadline. The loop beats each 50 ms; so far as the last beat is overdue a request may have waited. Checked: the new test holds the loop up for longer than a request's time; without the mend it is sent on.

--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -83,6 +83,7 @@
 
   private final Node node;
   private final Clock clock;
+  private final Pulse pulse;
   private final Sockets sockets;
   private final UpstreamPool pool;
   private final Map<String, RequestClass> classes;
@@ -95,9 +96,10 @@
   private boolean closing;
 
   /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
-  Frontend(Node node, Clock clock, Sockets sockets, UpstreamPool pool, Settings settings, long mostHeld) {
+  Frontend(Node node, Clock clock, Pulse pulse, Sockets sockets, UpstreamPool pool, Settings settings, long mostHeld) {
     this.node = node;
     this.clock = clock;
+    this.pulse = pulse;
     this.sockets = sockets;
     this.pool = pool;
     this.classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
@@ -354,7 +356,8 @@
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
         exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
-            "1".equals(headers.get(RETRY)), clock.now() + wait - WAY_NANOS, request.retain(), this::answer);
+            "1".equals(headers.get(RETRY)), clock.now() - pulse.behindNanos() + wait - WAY_NANOS, request.retain(),
+            this::answer);
         node.take(exchange);
         if (left) {
           node.clientLeft(exchange);
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -152,7 +152,7 @@
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
         config.discovery(), pushed ? Discovery.AGENT_MILLIS : Discovery.SILENCE_MILLIS, fleet::revision, this::news);
     node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
-    frontend = new Frontend(node, clock, sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
+    frontend = new Frontend(node, clock, new Pulse(loop, clock), sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
     node.news(ListKind.CACHED, config.known());
     if (pushed) {
       discovery.watch(true);
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -110,7 +110,7 @@
         settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady);
     Node node = new Node(group.next(), clock, settings, false, n -> new Logic(settings, n), fleet, pool,
         new NoList(), (to, data) -> { });
-    Frontend frontend = new Frontend(node, clock, sockets, pool, settings, Long.MAX_VALUE);
+    Frontend frontend = new Frontend(node, clock, new Pulse(group.next(), clock), sockets, pool, settings, Long.MAX_VALUE);
     node.news(ListKind.CACHED, new ServerList(0, true,
         IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
             .toList()));
--- a/src/test/java/cloverpulley/serve/ServeTest.java
+++ b/src/test/java/cloverpulley/serve/ServeTest.java
@@ -6,9 +6,11 @@
 
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.Outcome;
 import cloverpulley.Balancer.PeerMessage;
 import cloverpulley.Balancer.Refuse;
 import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.Send;
 import cloverpulley.Balancer.TellPeer;
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Balancer.SetTimer;
@@ -20,6 +22,7 @@
 import java.net.InetAddress;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -234,4 +237,42 @@
       assertTrue(!stop.isAlive(), "ends once no client is left");
     }
   }
+
+  /** The loop is held up while a request with little time comes: that time is over when it is read, and was counted from then. */
+  @Test
+  void aRequestThatLayUnreadForItsTimeIsNotSentOn() throws Exception {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch written = new CountDownLatch(1);
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r && r.workHintNanos() > 0) {
+        held.countDown();
+        hold(written);
+        out.accept(new Refuse(r.id(), 0));
+      } else if (event instanceof Request r) {
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id()));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), module);
+        Client client = rig.client(); Client other = rig.client()) {
+      assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
+      other.write(Rig.get("holds", "X-Size-Hint: 7\r\n"));
+      held.await();
+      client.write(Rig.get("brief", "X-Expires-In-Ms: 300\r\n"));
+      written.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 50"), "too late");
+      assertNull(upstream.requests.poll(), "not sent");
+    }
+  }
+
+  /** Holds the loop up for longer than the brief request's time, counted from when that was written. */
+  private static void hold(CountDownLatch written) {
+    try {
+      written.await();
+      Thread.sleep(500);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
 }
