Answer a body for which there is no room, in place of a close without a word

Seen: by reading. The bytes of all bodies in hand are bounded (RequestReader.hold); over it the connection was closed, also with an earlier request on it unanswered (Frontend.exceptionCaught). Now nothing more is read, what is in hand is answered, and then the late one gets its 413. Checked: the new test gets no answer without the mend.

--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -270,7 +270,14 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       boolean usual = cause instanceof IOException || cause instanceof CodecException;
       LOG.log(usual ? Level.FINE : Level.WARNING, "connection from " + channel.remoteAddress(), cause);
-      if (cause instanceof IOException || !deaf) {
+      if (cause instanceof CodecException && !deaf) {
+        // No room for a body, say. What came before it is still answered, and it gets its error.
+        deaf = true;
+        if (!busy) {
+          busy = true;
+          answer(status(cause), "the request can't be taken");
+        }
+      } else if (cause instanceof IOException || !deaf) {
         context.close();
       } // Otherwise it speaks of what is not read any more; what came before it is still answered.
     }
--- a/src/test/java/cloverpulley/serve/ClientTest.java
+++ b/src/test/java/cloverpulley/serve/ClientTest.java
@@ -180,4 +180,20 @@
       }
     }
   }
+
+  /** Guards the memory: who comes too late with a body is told so; the connection was closed without a word. */
+  @Test
+  void aBodyForWhichThereIsNoRoomIsAnError() throws Exception {
+    String text = Rig.text(NOWHERE, Rig.list(1, true), "on_request", 200, 1024, "").replace("\"memory_mb\":192", "\"memory_mb\":1");
+    try (Rig rig = new Rig(Config.parse(text, Map.of())); Client first = rig.client(); Client late = rig.client()) {
+      String half = Rig.post("t", "Idempotency-Key: k\r\n", "x".repeat(60_000)).substring(0, 40_000);
+      first.write(half);
+      try (Client other = rig.client()) {
+        other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+      }
+      late.write(half);
+      assertTrue(late.answer().startsWith("HTTP/1.1 413 "));
+      assertNull(late.answer());
+    }
+  }
 }
