Count a list's time to be whole anew for each list

Discovery.Stream.begunAt stayed where it was while lists came one after the other in pieces that end within the next one: after a second of that a good watch was taken for cut off. Checked: the new test, sixteen such lists in 1.5 s.

--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -204,6 +204,7 @@
       if (over) {
         return;
       }
+      begunAt = 0;
       ServerList list;
       try {
         list = ServerList.parse(Fields.parse(json, "list", text));
--- a/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -105,6 +105,30 @@
     }
   }
 
+  /** Lists come one after the other, each in one piece with the beginning of the next: none of them is cut off. */
+  @Test
+  void listsThatOverlapInTheirPiecesAreNotCutOff() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      String rest = Rig.list(42, false, A);
+      c.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      for (int revision = 43; revision < 43 + 15; revision++) {
+        String next = Rig.list(revision, false, A);
+        c.write(Discoveries.chunk(rest + next.substring(0, 15)));
+        rest = next.substring(15);
+        Thread.sleep(100);
+      }
+      c.write(Discoveries.chunk(rest));
+      c.ends();
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      for (int i = 0; i < 16; i++) {
+        assertEquals("DELTA 1 READY", word(module.next(ListNews.class)));
+      }
+    }
+  }
+
   @ParameterizedTest
   @CsvSource(delimiter = '|', value = {
     "HTTP/1.1 503 Service Unavailable~Content-Length: 0~~",
