Close a client's connection that ended its sending while its answer was on the way

Frontend.next kept it as an idle one, unread, for 60 s. And a request that the node answers as it takes it, at a stop's end, is no longer there to be told of (Frontend.serve): that one has no test of its own.

--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -366,7 +366,7 @@
             "1".equals(headers.get(RETRY)), clock.now() - pulse.behindNanos() + wait - WAY_NANOS, request.retain(),
             this::answer);
         node.take(exchange);
-        if (left) {
+        if (left && exchange != null) {
           node.clientLeft(exchange);
         }
       }
@@ -432,6 +432,8 @@
       if (request != null) {
         take(request);
         request.release();
+      } else if (left) {
+        close(); // It ended its sending while its answer was on the way, and would stand here for nothing.
       } else if (channel.isActive()) {
         clients.move(this, begun ? State.READING : State.IDLE);
       }
