End earlier, and over nothing that lies unread, so that a loop that is behind still answers

The stop left them no more than 0.15 s: all in hand was answered 0.3 s before the earliest SIGKILL (Server.STOP_EARLY_MILLIS), and with deadlines under 0.15 s new requests were refused while the process had still to take them.

Now what is in hand is answered 0.6 s before the earliest SIGKILL, and no sooner than new connections end; what came before SIGTERM has had all its time by then. The listener takes what has been accepted before it closes, and who is overdue is read once more.

--- a/src/main/java/cloverpulley/serve/Clients.java
+++ b/src/main/java/cloverpulley/serve/Clients.java
@@ -98,7 +98,7 @@
   /** Ends what has gone on for too long. */
   void sweep() {
     longer(State.LEAVING, LEAVING_NANOS).forEach(Client::close);
-    longer(State.READING, READING_NANOS).forEach(Client::overdue);
+    longer(State.READING, READING_NANOS).forEach(this::hurry);
     longer(State.IDLE, IDLE_NANOS).forEach(this::closeUnasked);
   }
 
@@ -126,6 +126,14 @@
 
   /** All that have begun a request have no more time for the rest of it. */
   void hurry() {
-    List.copyOf(since.get(State.READING).keySet()).forEach(Client::overdue);
+    List.copyOf(since.get(State.READING).keySet()).forEach(this::hurry);
+  }
+
+  /** Its request may have come whole, and lie unread because the event loop was held up. */
+  private void hurry(Client client) {
+    client.look();
+    if (is(client, State.READING)) {
+      client.overdue();
+    }
   }
 }
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -14,7 +14,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
@@ -91,6 +90,7 @@
   private final Clients clients = new Clients();
   private final RequestReader.Budget bodies;
   private Channel listener;
+  private long accepted;
   private boolean ready;
   private boolean stopping;
   private boolean closing;
@@ -134,8 +134,13 @@
     stopping = true;
   }
 
-  /** New connections are refused. */
+  /** New connections are refused. What the machine has accepted counts as taken, and is: to close over it would be a reset. */
   void acceptNoMore() {
+    long before;
+    do {
+      before = accepted;
+      Sockets.look(listener);
+    } while (accepted > before);
     listener.close();
   }
 
@@ -160,6 +165,7 @@
    */
   private void accepted(Channel channel) {
     boolean room = clients.count() < sockets.forClients() && sockets.hasRoom() || clients.shed() || pool.closeOldest();
+    accepted++;
     sockets.opened(channel);
     if (!room && sockets.isFull()) {
       channel.close();
@@ -301,9 +307,7 @@
 
     @Override
     public void look() {
-      if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-        unsafe.read();
-      }
+      Sockets.look(channel);
     }
 
     @Override
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -49,10 +49,11 @@
    */
   private static final long SERVE_MILLIS = 2200;
   private static final long LEAST_REST_MILLIS = 400;
-  /** SIGKILL comes so long after SIGTERM, beyond the longest deadline that counts. What has no answer gets one before. */
+  /** SIGKILL comes so long after SIGTERM, beyond the longest deadline that counts. */
   private static final long KILL_MILLIS = 700;
   private static final long MOST_DEADLINE_MILLIS = 3000;
-  private static final long STOP_EARLY_MILLIS = 300;
+  /** So much sooner all that is in hand is answered: the loop may be behind. What came before SIGTERM has had its time by then. */
+  private static final long STOP_EARLY_MILLIS = 600;
   /** And the answers so long to leave. */
   private static final long FLUSH_MILLIS = 150;
   private static final long STOP_CHECK_MILLIS = 20;
@@ -140,7 +141,8 @@
   /** How long after SIGTERM all that is in hand gets its answer. Guards against a SIGKILL that short deadlines bring early. */
   static long stopMillis(Settings settings) {
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
-    return Math.min(MOST_DEADLINE_MILLIS, TimeUnit.NANOSECONDS.toMillis(longest)) + KILL_MILLIS - STOP_EARLY_MILLIS;
+    long killMillis = Math.min(MOST_DEADLINE_MILLIS, TimeUnit.NANOSECONDS.toMillis(longest)) + KILL_MILLIS;
+    return Math.max(ACCEPT_MILLIS, killMillis - STOP_EARLY_MILLIS);
   }
 
   private void wire(LongFunction<Balancer> modules) {
--- a/src/main/java/cloverpulley/serve/Sockets.java
+++ b/src/main/java/cloverpulley/serve/Sockets.java
@@ -1,6 +1,7 @@
 package cloverpulley.serve;
 
 import io.netty.channel.Channel;
+import io.netty.channel.nio.AbstractNioChannel;
 
 /** Counts the open sockets against what the process may hold. */
 final class Sockets {
@@ -24,6 +25,13 @@
     most = limit - OWN - SPARE;
   }
 
+  /** Reads what has come on a connection, without waiting for the event loop to. */
+  static void look(Channel channel) {
+    if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+      unsafe.read();
+    }
+  }
+
   void opened(Channel channel) {
     open++;
     channel.closeFuture().addListener(f -> open--);
--- a/src/test/java/cloverpulley/serve/Rig.java
+++ b/src/test/java/cloverpulley/serve/Rig.java
@@ -13,6 +13,7 @@
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -93,8 +94,9 @@
     }
 
     Client write(String text) throws IOException {
-      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-      socket.getOutputStream().flush();
+      OutputStream out = socket.getOutputStream(); // Once: what is written may lead to its end.
+      out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+      out.flush();
       return this;
     }
 
