Hold the 6 s after which a change of the list counts as told, whatever failed before

Where lists are pushed, a watch that sends empty lines but never a list was never given up (Discovery.checkSilence): no news at all after 60 s. A call for which there is no socket was announced on a thread that is not the loop's (Stream.open).

Now the first list has its own time from the call's start, 0.75 s of an agent on this machine, 1.4 s of a service in whose queue calls wait, doubled to 2.8 s as calls are given up; the module comes back after up to 1 s, with its own timer. The chains are added up from the constants in DiscoveryTest: two dead watches behind a silent one 4.95 s (pushed), one 5.15 s (asked for), after a long outage 1.25 and 3.9 s. Jitter stays. newsComesInTimeWhateverFailedBefore plays eight ways to fail over real connections, both modes. A limit of the answer read goes from 1 to 4 MiB, for lists of thousands that come indented.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -100,9 +100,12 @@
   private static final double FAILED_STEP = 0.3;
   private static final double FAILED_KEPT = 10 * SECOND;
   private static final double FAILED_MOST = 0.1;
-  /** Back-off of calls for the list. */
-  private static final long ASK_FIRST = SECOND / 2;
-  private static final long ASK_MOST = 2 * SECOND;
+  /** Back-off of calls for the list: with the time that a call is waited for it has to fit into the 6 s after
+   * which a change counts as told, whatever failed before. */
+  private static final long ASK_FIRST = SECOND / 4;
+  private static final long ASK_MOST = SECOND;
+  /** The timer of the next call; any other is the sweep's. */
+  private static final String ASK = "ask";
   /** Share of the cold budget's window that may be sent at once. */
   private static final double COLD_BURST = 0.25;
   /** Sends a second that all balancers together may always give to a cold upstream. */
@@ -167,8 +170,12 @@
       onRequest(e);
     } else if (event instanceof Outcome e) {
       onOutcome(e);
-    } else if (event instanceof TimerFired) {
-      onSweep();
+    } else if (event instanceof TimerFired e) {
+      if (e.token().equals(ASK)) {
+        ask();
+      } else {
+        onSweep();
+      }
     } else if (event instanceof ListNews e) {
       onList(e);
     } else if (event instanceof ClientGone e) {
@@ -178,7 +185,7 @@
     } else if (event instanceof AnswerStarted e && open.get(e.id()) != null) {
       open.get(e.id()).streaming = true;
     }
-    if (!sweeping && (!open.isEmpty() || askAt != Long.MAX_VALUE)) {
+    if (!sweeping && !open.isEmpty()) {
       sweeping = true;
       out.accept(new SetTimer("sweep", now + sweep));
     }
@@ -615,19 +622,28 @@
       }
     }
     List.copyOf(held).forEach(this::advance);
+  }
+
+  // ---- Following the list -------------------------------------------------------------------------------
+
+  /** The longest wait before the next call for the list after so many that failed before the last. */
+  public static long askBackoff(int failures) {
+    return Math.min(ASK_MOST, ASK_FIRST << Math.min(failures, 10));
+  }
+
+  /** Calls for the list again, unless a later failure has put it off. */
+  private void ask() {
     if (now >= askAt) {
       askAt = Long.MAX_VALUE;
       out.accept(new Watch(true));
     }
   }
 
-  // ---- Following the list -------------------------------------------------------------------------------
-
   private void onList(ListNews news) {
     if (news.kind() == ListKind.FAILED) {
       // Full jitter, or all balancers would come back to the list service at once.
-      long backoff = Math.min(ASK_MOST, ASK_FIRST << Math.min(askFailures++, 10));
-      askAt = now + (long) (backoff * random.nextDouble());
+      askAt = now + (long) (askBackoff(askFailures++) * random.nextDouble());
+      out.accept(new SetTimer(ASK, askAt));
       return;
     }
     if (news.kind() != ListKind.CACHED) {
--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -40,42 +40,53 @@
   private static final String LIST = "/v1/servers";
   /**
    * After this long without a byte a call has failed. Discovery writes a line every 2 s; what it should have told counts as
-   * told 6 s after it fell silent, so that a watch that is silently dead has to be noticed, and replaced, well before that:
-   * the first that takes its place may be as dead, and the next one too.
+   * told {@link #TOLD_MILLIS} after it had it, so that a watch that is silently dead has to be noticed, and replaced, well before
+   * that: the first that takes its place may be as dead, and the next one too. The sums are in DiscoveryTest.
    */
   static final long SILENCE_MILLIS = 2800;
+  /** Whatever failed before, a change counts as told so long after discovery had it and could be reached. */
+  static final long TOLD_MILLIS = 6000;
   /** An agent on this machine answers at once: a watch to it without a first list after this is dead from the start. */
-  static final long AGENT_MILLIS = 1000;
-  private static final long SILENCE_CHECK_MILLIS = 100;
+  static final long AGENT_MILLIS = 750;
+  /**
+   * Where lists are asked for, calls wait in turn: the first list may take so long, and twice that after every call that was given
+   * up, as long as silence may last at most. Who gave up as soon each time would never get through a long queue.
+   */
+  static final long CALL_MILLIS = 1400;
+  static final long SILENCE_CHECK_MILLIS = 100;
   /** A list that has begun and is not whole after this is cut off: what comes next would only be taken for the rest of it. */
-  private static final long WHOLE_MILLIS = 1000;
-  /** The longest answer read: a list of thousands of upstreams. */
-  private static final int MOST_BYTES = 1 << 20;
+  static final long WHOLE_MILLIS = 1000;
+  /** The longest answer read: a list of thousands of upstreams, each with all its fields and indented. */
+  private static final int MOST_BYTES = 4 << 20;
 
   private final Bootstrap bootstrap;
   private final LongSupplier revision;
   private final BiConsumer<ListKind, ServerList> news;
-  private final long answerMillis;
+  private final boolean pushed;
   private final JsonFactory json = new JsonFactory();
   private InetSocketAddress address;
   private Stream watch;
   /** Whether a watch is wanted, also while none stands because the last one failed. */
   private boolean watching;
   private boolean failing;
+  /** Calls given up one after the other without a first list. */
+  private int givenUp;
 
-  /**
-   * {@code answerMillis} is how long a call may take to bring its first list, {@code revision} the version of the list held;
-   * {@code news} is told of every answer, and of failures.
-   */
-  Discovery(Bootstrap bootstrap, InetSocketAddress address, long answerMillis, LongSupplier revision,
+  /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
+  Discovery(Bootstrap bootstrap, InetSocketAddress address, boolean pushed, LongSupplier revision,
       BiConsumer<ListKind, ServerList> news) {
     this.bootstrap = bootstrap;
     this.address = address;
-    this.answerMillis = answerMillis;
+    this.pushed = pushed;
     this.revision = revision;
     this.news = news;
   }
 
+  /** How long a call may take to bring its first list, when so many before it were given up. */
+  static long patienceMillis(boolean pushed, int givenUp) {
+    return pushed ? AGENT_MILLIS : Math.min(SILENCE_MILLIS, CALL_MILLIS << Math.min(givenUp, 10));
+  }
+
   /** Discovery has another address: what is watched is watched there from now on, and the old connection ends. */
   void move(InetSocketAddress to) {
     if (!to.equals(address)) {
@@ -115,8 +126,10 @@
     private final String uri;
     private final boolean lasting;
     private final Lists lists = new Lists();
+    private final long patienceMillis = patienceMillis(pushed, givenUp);
+    private final long openedAt = System.nanoTime();
     private Channel channel;
-    private long heardAt = System.nanoTime();
+    private long heardAt = openedAt;
     /** Since when a list has been coming in that is not whole; 0 while none is. */
     private long begunAt;
     private boolean told;
@@ -135,6 +148,11 @@
           made.pipeline().addLast(new HttpClientCodec(), Stream.this, lists, new Teller());
         }
       }).connect(address);
+      if (connect.isDone() && !connect.isSuccess()) {
+        // No socket could be made at all; such a failure would be announced on a thread that is not ours.
+        bootstrap.config().group().next().execute(() -> fail("no socket"));
+        return;
+      }
       channel = connect.channel();
       check = bootstrap.config().group().next().scheduleWithFixedDelay(this::checkSilence, SILENCE_CHECK_MILLIS,
           SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
@@ -151,8 +169,10 @@
 
     void stop() {
       over = true;
-      check.cancel(false);
-      channel.close();
+      if (channel != null) {
+        check.cancel(false);
+        channel.close();
+      }
     }
 
     private void fail(String why) {
@@ -169,14 +189,23 @@
 
     /** Guards against a watch that is dead without a word: TCP alone would never tell. */
     private void checkSilence() {
-      long patience = told ? SILENCE_MILLIS : answerMillis;
-      if (System.nanoTime() - heardAt > TimeUnit.MILLISECONDS.toNanos(patience)) {
-        fail("silent");
-      } else if (begunAt != 0 && System.nanoTime() - begunAt > TimeUnit.MILLISECONDS.toNanos(WHOLE_MILLIS)) {
-        fail("a list was cut off");
+      String why = overdue();
+      if (why != null) {
+        givenUp += told ? 0 : 1;
+        fail(why);
       }
     }
 
+    /** What it has not done in time; null where it has. Before its first list empty lines are no sign of life. */
+    private String overdue() {
+      return isOver(told ? heardAt : openedAt, told ? SILENCE_MILLIS : patienceMillis) ? "silent"
+          : begunAt != 0 && isOver(begunAt, WHOLE_MILLIS) ? "a list was cut off" : null;
+    }
+
+    private static boolean isOver(long since, long millis) {
+      return System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
       heardAt = System.nanoTime();
@@ -217,6 +246,7 @@
         failing = false;
       }
       told = true;
+      givenUp = 0;
       news.accept(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
     }
 
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -158,7 +158,7 @@
     pushed = !config.settings().listOnRequest();
     discovery = new Discovery(
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
-        config.discovery(), pushed ? Discovery.AGENT_MILLIS : Discovery.SILENCE_MILLIS, fleet::revision, this::news);
+        config.discovery(), pushed, fleet::revision, this::news);
     node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
     frontend = new Frontend(node, clock, new Pulse(loop, clock), sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
     node.news(ListKind.CACHED, config.known());
@@ -175,11 +175,16 @@
       agentFailures = 0;
       node.news(kind, list);
     } else {
-      long backoff = Math.min(AGENT_RETRY_MOST_MILLIS, AGENT_RETRY_MILLIS << Math.min(agentFailures++, 10));
+      long backoff = agentBackoffMillis(agentFailures++);
       loop.schedule(discovery::resume, ThreadLocalRandom.current().nextLong(backoff / 2, backoff), TimeUnit.MILLISECONDS);
     }
   }
 
+  /** The longest wait before the agent is asked again after so many failures before the last. */
+  static long agentBackoffMillis(int failures) {
+    return Math.min(AGENT_RETRY_MOST_MILLIS, AGENT_RETRY_MILLIS << Math.min(failures, 10));
+  }
+
   /** Where a configuration comes from. */
   interface Source {
     Config read() throws IOException;
--- a/src/test/java/cloverpulley/Driver.java
+++ b/src/test/java/cloverpulley/Driver.java
@@ -22,6 +22,7 @@
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Balancer.WeightKind;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +33,7 @@
   static final long MS = 1_000_000L;
 
   final Balancer module;
-  final List<Long> timers = new ArrayList<>();
+  final List<SetTimer> timers = new ArrayList<>();
   final List<Sent> outstanding = new ArrayList<>();
   final Map<String, Integer> refusals = new HashMap<>();
   final Map<String, Integer> attempts = new HashMap<>();
@@ -74,7 +75,7 @@
     module.handle(now, event, actions::add);
     for (Action action : actions) {
       if (action instanceof SetTimer t) {
-        timers.add(t.atNanos());
+        timers.add(t);
       } else if (action instanceof Balancer.Refuse r) {
         refusals.merge(r.id().substring(0, 1), 1, Integer::sum);
       } else if (action instanceof Send s) {
@@ -149,13 +150,13 @@
     List<Action> actions = new ArrayList<>();
     long end = now + nanos;
     while (true) {
-      long due = timers.stream().mapToLong(t -> t).min().orElse(Long.MAX_VALUE);
-      if (due > end) {
+      SetTimer due = timers.stream().min(Comparator.comparingLong(SetTimer::atNanos)).orElse(null);
+      if (due == null || due.atNanos() > end) {
         break;
       }
       timers.remove(due);
-      now = Math.max(now, due);
-      actions.addAll(step(new TimerFired("sweep")));
+      now = Math.max(now, due.atNanos());
+      actions.addAll(step(new TimerFired(due.token())));
     }
     now = end;
     return actions;
--- a/src/test/java/cloverpulley/FourRulesTest.java
+++ b/src/test/java/cloverpulley/FourRulesTest.java
@@ -121,7 +121,7 @@
     assertTrue(Driver.has(d.list(ListKind.CACHED, Driver.up(1)), Watch.class));
     for (int i = 0; i < 8; i++) {
       d.list(ListKind.FAILED);
-      assertTrue(Driver.has(d.pass(2100 * Driver.MS), Watch.class), "asked again inside ask-within");
+      assertTrue(Driver.has(d.pass(1100 * Driver.MS), Watch.class), "asked again, soon enough for what it may miss");
     }
     assertFalse(Driver.has(d.list(ListKind.FULL, Driver.up(1), Driver.up(2)), Watch.class));
     assertFalse(Driver.has(d.pass(9000 * Driver.MS), Watch.class), "a subscription is not asked for twice");
--- a/src/test/java/cloverpulley/StormTest.java
+++ b/src/test/java/cloverpulley/StormTest.java
@@ -65,7 +65,7 @@
 
   private final Map<String, Entry> book = new LinkedHashMap<>();
   private final Map<Long, Listed> fleet = new LinkedHashMap<>();
-  private final List<Long> timers = new ArrayList<>();
+  private final List<SetTimer> timers = new ArrayList<>();
   private SplittableRandom random;
   private Settings settings;
   private Balancer module;
@@ -152,9 +152,9 @@
   }
 
   private void fire() {
-    List<Long> due = timers.stream().filter(t -> t <= now).toList();
-    timers.removeIf(t -> t <= now);
-    due.forEach(t -> step(new TimerFired("sweep")));
+    List<SetTimer> due = timers.stream().filter(t -> t.atNanos() <= now).toList();
+    timers.removeAll(due);
+    due.forEach(t -> step(new TimerFired(t.token())));
   }
 
   /** Ends some attempts: those past the deadline time out, others end at random. */
@@ -186,7 +186,7 @@
     module.handle(now, event, actions::add);
     for (Action action : actions) {
       if (action instanceof SetTimer t) {
-        timers.add(t.atNanos());
+        timers.add(t);
       } else if (action instanceof Send s) {
         checkSend(book.get(s.id()), s);
       } else if (action instanceof Refuse r) {
--- a/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -8,9 +8,17 @@
 import cloverpulley.Balancer.ListNews;
 import cloverpulley.Balancer.Listed;
 import cloverpulley.Balancer.Watch;
+import cloverpulley.Logic;
 import cloverpulley.serve.Rig.Script;
 import java.io.IOException;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -191,6 +199,110 @@
     }
   }
 
+  /**
+   * The worst chains from a change to its being told, of the constants themselves; each time-out ends at the next check. What is
+   * left of the 6 s is for a busy loop and, where lists are asked for, for the service's queue.
+   */
+  @ParameterizedTest
+  @CsvSource({"true,1000", "false,800"})
+  void noChainOfTimeOutsAndBackoffsComesNearToWhatCountsAsTold(boolean pushed, long spareMillis) {
+    long check = Discovery.SILENCE_CHECK_MILLIS;
+    // A watch falls silent with the change, the one that replaces it is as dead (where lists are pushed the next one too).
+    long silent = Discovery.SILENCE_MILLIS + check;
+    for (int dead = 0; dead < (pushed ? 2 : 1); dead++) {
+      silent += backoffMillis(pushed, dead) + Discovery.patienceMillis(pushed, dead) + check;
+    }
+    silent += backoffMillis(pushed, pushed ? 2 : 1);
+    assertTrue(silent + spareMillis <= Discovery.TOLD_MILLIS, "silent watches: " + silent + " ms");
+    // A list is cut off, and the same again.
+    long cut = 2 * (Discovery.WHOLE_MILLIS + check) + backoffMillis(pushed, 0) + backoffMillis(pushed, 1);
+    assertTrue(cut + spareMillis <= Discovery.TOLD_MILLIS, "lists cut off: " + cut + " ms");
+    // After a long outage: the last call that is lost began just before discovery could be reached.
+    long outage = Discovery.patienceMillis(pushed, 20) + check + backoffMillis(pushed, 20);
+    assertTrue(outage + 2 * spareMillis <= Discovery.TOLD_MILLIS, "outage: " + outage + " ms");
+  }
+
+  private static long backoffMillis(boolean pushed, int failures) {
+    return pushed ? Server.agentBackoffMillis(failures) : TimeUnit.NANOSECONDS.toMillis(Logic.askBackoff(failures));
+  }
+
+  /** How a call fails. */
+  private enum Failure {
+    MUTE(StubServer.Connection::ends),
+    HALF_A_HEAD(c -> {
+      c.write("HTTP/1.1 200 OK\r\nTransfer-");
+      c.ends();
+    }),
+    NO_LIST(c -> {
+      c.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      while (true) {
+        c.write(Discoveries.chunk(""));
+        Thread.sleep(200);
+      }
+    }),
+    CUT_OFF(c -> {
+      c.write(Discoveries.watch(Rig.list(42, true, A).substring(0, 60)));
+      c.ends();
+    }),
+    CLOSED(c -> { }),
+    RESET(StubServer.Connection::reset),
+    REFUSED(c -> c.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")),
+    MALFORMED(c -> c.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot JSON\n"));
+
+    private final StubServer.Script call;
+
+    Failure(StubServer.Script call) {
+      this.call = call;
+    }
+  }
+
+  /** Calls fail several times in a row; discovery has news and can be reached from right after the last of them began. */
+  @ParameterizedTest
+  @CsvSource({"pushed", "on_request"})
+  void newsComesInTimeWhateverFailedBefore(String mode) throws Exception {
+    ExecutorService cases = Executors.newCachedThreadPool();
+    try {
+      Map<Failure, Future<Long>> took = new EnumMap<>(Failure.class);
+      for (Failure failure : Failure.values()) {
+        took.put(failure, cases.submit(() -> millisToNews(failure, 4, mode)));
+      }
+      for (Map.Entry<Failure, Future<Long>> one : took.entrySet()) {
+        long millis = one.getValue().get(Rig.LIMIT_S, TimeUnit.SECONDS);
+        assertTrue(millis < Discovery.TOLD_MILLIS - 1000, one.getKey() + ": the news came after " + millis + " ms");
+      }
+    } finally {
+      cases.shutdownNow();
+    }
+  }
+
+  private static long millisToNews(Failure failure, int times, String mode) throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    AtomicLong reachableAt = new AtomicLong();
+    BlockingQueue<ListNews> told = new LinkedBlockingQueue<>();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      if (calls.incrementAndGet() <= times) {
+        reachableAt.set(System.nanoTime());
+        failure.call.run(c);
+      } else {
+        c.write(Discoveries.watch(Rig.list(43, true, Rig.member("s-a", "127.0.0.1:1", "draining"))));
+        c.ends();
+      }
+    })) {
+      Config config = Rig.config(discovery.address(), Rig.list(41, true, A), mode, 200, 1024, "");
+      Logic logic = new Logic(config.settings(), config.seed());
+      try (Rig rig = new Rig(config, (now, event, out) -> {
+        if (event instanceof ListNews n && n.kind() == ListKind.FULL) {
+          told.add(n);
+        }
+        logic.handle(now, event, out);
+      })) {
+        assertEquals("FULL 1 DRAINING", word(told.poll(Rig.LIMIT_S, TimeUnit.SECONDS)));
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reachableAt.get());
+      }
+    }
+  }
+
   @Test
   void theListIsFetchedOnce() throws Exception {
     Script module = new Script((event, out) -> {
--- a/src/test/java/cloverpulley/serve/StubServer.java
+++ b/src/test/java/cloverpulley/serve/StubServer.java
@@ -140,6 +140,12 @@
       socket.getOutputStream().flush();
     }
 
+    /** Ends it at once, with a reset. */
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+
     /** Waits until the script is through: its last read found the end, or it closed. */
     boolean awaitEnd() throws InterruptedException {
       return over.await(Rig.LIMIT_S, TimeUnit.SECONDS);
