Start no attempt for a client that has left, by a look at its connection right before

Found by reading, each shown by a test that puts the leaving into the kernel before the decision is carried out: the loop's turn that reads a request does not read the end behind it, and what is decided in that turn was sent for nobody; so were retries and second copies decided in the turn of the leaving. A connection or a request that waited its turn had 0.2 s more (Node.LEFT_NANOS); with the loop behind, as long as that. Suspected too: that paused reading hides the end. It does not, nothing pauses it.

Now a client's connection is read right before an attempt's first byte, beside the question whether its upstream is ready and time is left (Node.isWanted), and nothing starts once its end or a reset has come. What waits for an upstream, a connection or a retry ends at once, with a final answer for who ended only its sending. What is out is left out: it may be listened for.

The test of what waits its turn no longer needs to wait for 0.4 s.

--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -26,9 +26,13 @@
       AsciiString.cached("keep-alive"), AsciiString.cached("proxy-connection"), HttpHeaderNames.TE,
       HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT);
 
-  /** Gives the one final answer to the client; a no-op where the client is gone. The content stays the caller's. */
+  /** Where the one final answer goes. */
   interface Reply {
+    /** Gives it to the client; a no-op where the client is gone. The content stays the caller's. */
     void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content);
+
+    /** Whether the client has not left, by all that has come from it up to now. */
+    boolean isAwaited();
   }
 
   /** The client's id: no two requests in hand have the same. */
@@ -46,8 +50,8 @@
   long takenAt;
   Future<?> guard;
   int outstanding;
-  /** When its client ended its sending; 0 while it has not. */
-  long leftAt;
+  /** Its client has ended its sending. */
+  boolean left;
   private final FullHttpRequest request;
   private final Reply reply;
   private boolean ended;
@@ -86,6 +90,11 @@
     return ended;
   }
 
+  /** Whether its client is there, and has not left since what was last read of it. */
+  boolean isAwaited() {
+    return !ended && !left && reply.isAwaited();
+  }
+
   /** Ends it without an answer: the client has gone. */
   void abandon() {
     if (!ended) {
@@ -97,9 +106,9 @@
     }
   }
 
-  /** Whether an attempt has been written whole and has not ended. */
+  /** Whether an answer may still come of what has been written, or has come. */
   boolean isSent() {
-    return attempts.stream().anyMatch(a -> a.status == null && a.call.written);
+    return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : a.status == Status.SERVED);
   }
 
   boolean mayHaveRun() {
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -173,7 +173,8 @@
   }
 
   /** One client's connection: a request at a time, those that come early wait for their turn. */
-  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Clients.Client {
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest>
+      implements Clients.Client, Exchange.Reply {
 
     private final Channel channel;
     private final RequestReader reader;
@@ -187,9 +188,8 @@
     /** Bytes of the body of the request that is served. */
     private int size;
     private Exchange exchange;
-    /** The client has ended its sending, and when. */
+    /** The client has ended its sending. */
     private boolean left;
-    private long leftAt;
 
     Connection(Channel channel) {
       this.channel = channel;
@@ -254,7 +254,6 @@
       }
       deaf = true;
       left = true;
-      leftAt = clock.now();
       if (exchange != null) {
         node.clientLeft(exchange);
       }
@@ -266,6 +265,10 @@
       early.forEach(FullHttpRequest::release);
       early.clear();
       reader.release();
+      gone();
+    }
+
+    private void gone() {
       if (exchange != null) {
         node.clientGone(exchange);
         exchange = null;
@@ -360,7 +363,7 @@
       } else if (node.isOpen(id)) {
         // Guards the client whose request it is, and its effect.
         answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
-      } else if (left && clock.now() - leftAt > Node.LEFT_NANOS) {
+      } else if (left) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "its client has left");
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
@@ -368,11 +371,8 @@
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
         exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
             "1".equals(headers.get(RETRY)), clock.now() - pulse.behindNanos() + wait - WAY_NANOS, request.retain(),
-            this::answer);
+            this);
         node.take(exchange);
-        if (left && exchange != null) {
-          node.clientLeft(exchange);
-        }
       }
     }
 
@@ -395,7 +395,17 @@
       content.release();
     }
 
-    private void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
+    @Override
+    public boolean isAwaited() {
+      look();
+      if (!channel.isActive()) {
+        gone(); // Reset: told of here, for the connection itself is told of only after what is being done.
+      }
+      return exchange != null && !left;
+    }
+
+    @Override
+    public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
       exchange = null;
       FullHttpResponse response =
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content.retainedDuplicate());
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -57,8 +57,6 @@
 
   /** A request without an answer gets one so long after the deadline that the module knows: a last guard. */
   private static final long GUARD_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-  /** A connection for a client that has left is waited for no longer: 0.3 s after its leaving nothing may start. */
-  static final long LEFT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   /** A probe is given up after this. */
   private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -140,27 +138,19 @@
   }
 
   /**
-   * The client has ended its sending. What is out may still bring the answer that it waits for; nothing is started for it any
-   * more. Told in its turn: what came with the end of the sending is sent on first.
+   * The client has ended its sending, and most likely gone: from here on nothing is started for it. What waits for an upstream, a
+   * connection or a retry ends at once; what is out may still bring the answer, in case that it listens.
    */
   void clientLeft(Exchange x) {
-    enqueue(() -> {
-      x.leftAt = clock.now();
-      if (x.outstanding == 0) {
-        return withdraw(x);
-      }
-      loop.schedule(() -> enqueue(() -> withdraw(x)), LEFT_NANOS, TimeUnit.NANOSECONDS);
-      return null;
-    });
-  }
-
-  /** Ends what waits for a connection, an upstream or a retry; null where an answer is on its way. */
-  private Event withdraw(Exchange x) {
-    if (x.isEnded() || x.isSent()) {
-      return null;
+    if (x.isEnded() || x.left) {
+      return;
+    }
+    x.left = true;
+    if (!x.isSent()) {
+      refuse(x);
+      enqueue(() -> known(x) ? new ClientGone(x.id) : null);
+      x.attempts.forEach(a -> pool.cancel(a.call));
     }
-    refuse(x);
-    return new ClientGone(x.id);
   }
 
   /** Of one that has not run the client is told so. */
@@ -359,8 +349,7 @@
    * news that is told next: by then the upstream may drain, the request be over or past its repeats, or its client gone.
    */
   private boolean isWanted(Exchange x, long upstream, long repeatBy) {
-    long now = clock.now();
-    return !x.isEnded() && fleet.isReady(upstream) && now < repeatBy && (x.leftAt == 0 || now < x.leftAt + LEFT_NANOS);
+    return x.isAwaited() && fleet.isReady(upstream) && clock.now() < repeatBy;
   }
 
   private void attemptEnded(Exchange x, Attempt attempt, Status status, FullHttpResponse answer) {
@@ -378,7 +367,7 @@
         }
         served.release();
       }
-      if (x.leftAt != 0 && x.outstanding == 0 && !x.isEnded()) {
+      if (x.left && x.outstanding == 0 && !x.isEnded()) {
         refuse(x);
       }
       return known(x)
--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -53,7 +53,7 @@
   }
 
   /** An upstream whose machine says nothing: its queue of connections is full, new ones never come up. */
-  private static final class Silent implements AutoCloseable {
+  static final class Silent implements AutoCloseable {
     private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
     private final List<Socket> waiting = new ArrayList<>();
 
--- a/src/test/java/cloverpulley/serve/LeavingTest.java
+++ b/src/test/java/cloverpulley/serve/LeavingTest.java
@@ -8,18 +8,22 @@
 
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.Outcome;
+import cloverpulley.Balancer.Refuse;
 import cloverpulley.Balancer.Request;
 import cloverpulley.Balancer.Send;
 import cloverpulley.Balancer.Status;
 import cloverpulley.serve.Rig.Client;
 import cloverpulley.serve.Rig.Script;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Clients that leave, or end their sending and still listen, while their request waits or is out. */
 @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
@@ -32,6 +36,11 @@
     return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")));
   }
 
+  private static Config two(StubServer first, StubServer second) throws IOException {
+    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", first.address(), "ready"),
+        Rig.member("s-2", second.address(), "ready")));
+  }
+
   /** Answers each request once told to. */
   private static StubServer onCue(CountDownLatch cue) throws IOException {
     return new StubServer(c -> {
@@ -126,19 +135,128 @@
     }
   }
 
-  /** The request and the end of the sending come in one go: there is time enough to send it on. */
+  /** How a client leaves. */
+  private enum Leaving {
+    ENDS_ITS_SENDING, RESETS;
+
+    void leave(Client client) {
+      try {
+        if (this == RESETS) {
+          client.socket.setSoLinger(true, 0);
+          client.close();
+        } else {
+          client.socket.shutdownOutput();
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** The module decides while the client's end is in the kernel, not read yet: it was sent on for nobody. */
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void whatIsDecidedInTheTurnInWhichItsClientLeavesIsNotSent(Leaving how) throws Exception {
+    AtomicReference<Client> leaving = new AtomicReference<>();
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        if (leaving.get() != null) {
+          how.leave(leaving.getAndSet(null));
+        }
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), module);
+        Client client = rig.client(); Client other = rig.client()) {
+      leaving.set(client);
+      client.write(Rig.get("leaves", ""));
+      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      if (how == Leaving.ENDS_ITS_SENDING) {
+        assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "a final answer, and a harmless one");
+        assertNull(client.answer());
+      }
+      assertTrue(other.ask(Rig.get("stays", "")).startsWith("HTTP/1.1 200 "));
+      assertTrue(upstream.requests.take().contains("X-Trace-Id: stays\r\n"), "the only one that was sent");
+    }
+  }
+
+  /** The same for a further attempt: a retry, decided in the turn in which the client leaves. */
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void aRetryIsNotSentOnceItsClientHasLeft(Leaving how) throws Exception {
+    AtomicReference<Client> leaving = new AtomicReference<>();
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
+      } else if (event instanceof Outcome o && o.attempt() == 0) {
+        how.leave(leaving.get());
+        out.accept(new Send(o.id(), Discoveries.number("s-2"), LONG));
+      }
+    });
+    try (StubServer full = StubServer.answering("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        StubServer second = StubServer.answering(StubServer.ok("x"));
+        Rig rig = new Rig(two(full, second), module); Client client = rig.client()) {
+      leaving.set(client);
+      client.write(Rig.get("t", ""));
+      assertEquals(Status.FULL, module.next(Outcome.class).status());
+      Outcome further = module.next(Outcome.class);
+      assertEquals(Status.NOT_SENT, further.status());
+      assertTrue(further.finished(), "nothing more is wanted of the module");
+      if (how == Leaving.ENDS_ITS_SENDING) {
+        assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not run");
+      }
+      assertTrue(second.connections.isEmpty(), "not sent");
+    }
+  }
+
+  /** And for a second copy, whose first is out at an upstream that does not answer; that one may still bring the answer. */
   @Test
-  void aRequestThatEndsTheSendingIsServed() throws Exception {
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), new Script(LONG));
-        Client client = rig.client()) {
+  void aSecondCopyIsNotSentOnceItsClientHasLeft() throws Exception {
+    AtomicReference<Client> leaving = new AtomicReference<>();
+    CountDownLatch cue = new CountDownLatch(1);
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r && r.workHintNanos() == 0) {
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
+      } else if (event instanceof Request r) {
+        Leaving.ENDS_ITS_SENDING.leave(leaving.get());
+        out.accept(new Send("r0", Discoveries.number("s-2"), LONG));
+        out.accept(new Refuse(r.id(), 0));
+      }
+    });
+    try (StubServer first = onCue(cue); StubServer second = StubServer.answering(StubServer.ok("y"));
+        Rig rig = new Rig(two(first, second), module); Client client = rig.client(); Client other = rig.client()) {
+      leaving.set(client);
+      client.write(Rig.get("t", ""));
+      assertNotNull(first.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      assertTrue(other.ask(Rig.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
+      Outcome copy = module.next(Outcome.class);
+      assertEquals(Status.NOT_SENT, copy.status());
+      assertEquals(1, copy.attempt());
+      cue.countDown();
+      assertTrue(client.answer().endsWith("\r\n\r\nx"), "the one that was out");
+      assertNull(client.answer());
+      assertTrue(second.requests.isEmpty(), "not sent");
+    }
+  }
+
+  /** A connection that does not come up is waited for no longer, and its client need not wait either. */
+  @Test
+  void aRequestThatStillConnectsEndsAtOnceWhenItsClientEndsItsSending() throws Exception {
+    Script module = new Script(0);
+    try (AttemptTest.Silent upstream = new AttemptTest.Silent();
+        Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")), "on_request",
+            1000 * Rig.LIMIT_S, 1024, ""), module); Client client = rig.client()) {
       client.write(Rig.get("t", ""));
+      module.next(Request.class);
       client.socket.shutdownOutput();
-      assertTrue(client.answer().endsWith("\r\n\r\nx"));
+      assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not run");
       assertNull(client.answer());
+      module.next(ClientGone.class);
+      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
     }
   }
 
-  /** Nothing may start 0.3 s after the leaving: what waits its turn behind a slow request is answered, not sent. */
+  /** Nothing starts for a client that has left: what waits its turn behind a slow request is answered, not sent. */
   @Test
   void whatWaitsItsTurnBehindASlowRequestIsNotSentOnceItsClientHasLeft() throws Exception {
     CountDownLatch cue = new CountDownLatch(1);
@@ -147,7 +265,6 @@
       assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
-      Thread.sleep(TimeUnit.NANOSECONDS.toMillis(2 * Node.LEFT_NANOS)); // The time itself is what is tested.
       cue.countDown();
       assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
       assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "refused, and harmless");
--- a/src/test/java/cloverpulley/serve/TrailTest.java
+++ b/src/test/java/cloverpulley/serve/TrailTest.java
@@ -7,6 +7,7 @@
 import cloverpulley.Balancer.Effect;
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Balancer.Status;
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -55,7 +56,15 @@
 
   private static Exchange taken(String id, long at) {
     Exchange x = new Exchange(id, TYPE, null, null, 0, false, at + 2000 * MS,
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), (status, wait, type, content) -> { });
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), new Exchange.Reply() {
+          @Override
+          public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {}
+
+          @Override
+          public boolean isAwaited() {
+            return true;
+          }
+        });
     x.takenAt = at;
     return x;
   }
