Take buffers in pieces that fit the smallest share of memory, where not one request could be read

Seen: a new test starts the program by run with 32 MB in its configuration and 1,024 upstreams and balancers; its first client was closed with no answer: "Cannot reserve 4194304 bytes of direct buffer memory (allocated: 171222, limit: 4194304)". The allocator takes its memory in chunks of 4 MB, all that run.sh gives to buffers at 32 MB, of which a little is in use already: no read could ever get a buffer. Chunks are now of 512 KiB (run.sh, io.netty.allocator.maxOrder).

LargeFleetIT plays that over real connections: lists of 1,024 indented upstreams, by the known list, by a full one and by a second, each read to its last entry, with a watch that stays up. Fixed limits looked for elsewhere: 65,536 members of a ring, 8,000 windows of keys, 4 MiB of a list; none below 1,024 on lists, groups or peers.

Beside it a guard that passed from the start: at 256 descriptors 500 idle clients come while discovery is down; new requests get final answers, nothing spins, discovery is found when it is back.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -14,7 +14,8 @@
 case $memory in ''|0*|???????*) memory=192 ;; esac
 
 # Beside heap and buffers the VM with its archives, code and stacks takes some 60 MB: half of what is left is heap (12 MB at
-# least), touched at the start so that memory does not grow later; an eighth is for buffers.
+# least), touched at the start so that memory does not grow later; an eighth is for buffers, taken in pieces of half a megabyte
+# (8 KiB by 2 to the 6th): in the pieces of 4 MB that are usual not one fits into the smallest share.
 heap=$(( (memory - 64) / 2 ))
 heap=$(( heap < 12 ? 12 : heap > 64 ? 64 : heap ))
 buffers=$(( memory < 32 ? 4 : memory / 8 ))
@@ -23,4 +24,4 @@
   -XX:CompileThresholdScaling=0.5 -Xms${heap}m -Xmx${heap}m -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=${buffers}m \
   -XX:MaxMetaspaceSize=32m -XX:ReservedCodeCacheSize=16m -Xss512k -XX:-UsePerfData -Dio.netty.jfr.enabled=false \
   -Dio.netty.leakDetection.level=disabled -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
-  -Dio.netty.allocator.numDirectArenas=1 -XX:+ExitOnOutOfMemoryError -jar target/cloverpulley.jar serve
+  -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=6 -XX:+ExitOnOutOfMemoryError -jar target/cloverpulley.jar serve
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/LargeFleetIT.java
@@ -0,0 +1,185 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as it is deployed, at its limits of memory and descriptors, in a large fleet. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class LargeFleetIT {
+
+  private static final int MANY = 1024;
+
+  @TempDir
+  Path folder;
+  private Process process;
+
+  @AfterEach
+  void end() {
+    if (process != null) {
+      process.destroyForcibly();
+    }
+  }
+
+  private String log() throws IOException {
+    return Files.readString(folder.resolve("err"));
+  }
+
+  /** Starts it by {@code run}; returns the port at which it serves. */
+  private int start(String config, int descriptors) throws IOException, InterruptedException {
+    Files.writeString(folder.resolve("config"), config);
+    File err = folder.resolve("err").toFile();
+    ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + descriptors + "; . deploy/run.sh")
+        .redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(err);
+    builder.environment().put("ROUTER_CONFIG", folder.resolve("config").toString());
+    process = builder.start();
+    while (true) {
+      Matcher serves = Pattern.compile("serves at /127.0.0.1:(\\d+), (\\d+) upstreams known").matcher(log());
+      if (serves.find()) {
+        return Integer.parseInt(serves.group(1));
+      }
+      assertTrue(process.isAlive(), log());
+      Thread.sleep(10);
+    }
+  }
+
+  private static String ask(Socket client, String text) throws IOException {
+    client.setSoTimeout(Rig.LIMIT_S * 1000);
+    client.getOutputStream().write(text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+    return StubServer.Message.read(client.getInputStream());
+  }
+
+  private static String askAnew(int port, String id) throws IOException {
+    try (Socket client = new Socket("127.0.0.1", port)) {
+      return ask(client, Rig.get(id, "Cookie: sid=" + id + "\r\n"));
+    }
+  }
+
+  /** Of many upstreams only the one is ready. */
+  private static String list(int revision, int ready, String address) {
+    return Rig.list(revision, true, IntStream.range(0, MANY).mapToObj(i -> Rig.member("upstream-with-a-long-name-" + i,
+        i == ready ? address : "127.0.0.1:1", i == ready ? "ready" : "draining")).toArray(String[]::new));
+  }
+
+  private static String indented(String list) {
+    return list.replace("{", "{\n        ").replace(",\"", ",\n            \"").replace("}", "\n        }");
+  }
+
+  /** In the least memory that the platform gives, by lists that come indented. */
+  @Test
+  void aThousandUpstreamsAndBalancersAreTakenWhole() throws Exception {
+    CountDownLatch moved = new CountDownLatch(1);
+    try (StubServer first = StubServer.answering(StubServer.ok("first")); StubServer last = StubServer.answering(StubServer.ok("last"));
+        StubServer discovery = new StubServer(c -> {
+          c.next();
+          c.write(Discoveries.watch(indented(list(42, MANY - 1, last.address()))));
+          moved.await();
+          c.write(Discoveries.chunk(indented(list(43, 0, first.address()))));
+          c.ends();
+        })) {
+      String peers = "\"peers\":[" + IntStream.range(0, MANY).mapToObj(i -> "\"127.0." + i / 250 + "." + (i % 250 + 1) + ":7946\"")
+          .collect(Collectors.joining(",")) + "],";
+      String config = Rig.text(discovery.address(), list(41, MANY / 2, "127.0.0.1:1"), "pushed", 200, MANY, peers)
+          .replace("\"memory_mb\":192", "\"memory_mb\":32")
+          .replace("\"me\":0", "\"me\":" + (MANY - 1) + ",\"group-size\":" + MANY);
+      int port = start(config, MANY);
+      assertTrue(log().contains(", " + MANY + " upstreams known"), log());
+      assertTrue(askAnew(port, "t1").endsWith("\r\n\r\nlast"), "the end of the list");
+      moved.countDown();
+      for (int i = 0; !askAnew(port, "u" + i).endsWith("\r\n\r\nfirst"); i++) {
+        Thread.sleep(10);
+      }
+      assertEquals(1, discovery.connections.size(), "the watch still stands: " + log());
+      assertFalse(log().contains("OutOfMemory"), log());
+      assertTrue(process.isAlive(), log());
+    }
+  }
+
+  /**
+   * Idle clients fill all that they can while discovery is down. Open requests are answered, new ones served, discovery is found
+   * when it is back, and nothing spins.
+   */
+  @Test
+  void idleClientsKeepNeitherRequestsNorDiscoveryOut() throws Exception {
+    AtomicBoolean up = new AtomicBoolean();
+    CountDownLatch cue = new CountDownLatch(1);
+    List<Socket> idle = new ArrayList<>();
+    try (StubServer slow = new StubServer(c -> {
+      while (c.next() != null) {
+        cue.await();
+        c.write(StubServer.ok("slow"));
+      }
+    }); StubServer known = StubServer.answering(StubServer.ok("known")); StubServer told = StubServer.answering(StubServer.ok("told"));
+        StubServer discovery = new StubServer(c -> {
+          if (!up.get()) {
+            c.reset();
+          }
+          c.next();
+          c.write(Discoveries.watch(Rig.list(42, true, Rig.member("s-told", told.address(), "ready"))));
+          c.ends();
+        })) {
+      int port = start(Rig.text(discovery.address(), Rig.list(41, true, Rig.member("s-slow", slow.address(), "ready"),
+          Rig.member("s-known", known.address(), "ready")), "pushed", 200, 256, ""), 256);
+      // Both upstreams get requests until one of them waits at the slow one.
+      List<Socket> open = new ArrayList<>();
+      while (slow.requests.isEmpty()) {
+        Socket client = new Socket("127.0.0.1", port);
+        client.getOutputStream().write(Rig.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n").getBytes());
+        open.add(client);
+        Thread.sleep(20);
+      }
+      for (int i = 0; i < 500; i++) {
+        Socket client = new Socket("127.0.0.1", port);
+        idle.add(client);
+        assertNotNull(ask(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"), "a new client gets its answer");
+      }
+      assertTrue(askAnew(port, "while-down").startsWith("HTTP/1.1 "), "and a request a final one");
+      Duration before = process.info().totalCpuDuration().orElseThrow();
+      Thread.sleep(2000); // The time itself is what is tested.
+      long usedMillis = process.info().totalCpuDuration().orElseThrow().minus(before).toMillis();
+      assertTrue(usedMillis < 700, "with nothing to do it used " + usedMillis + " ms in 2 s");
+      up.set(true);
+      while (!log().contains("discovery answers again")) {
+        Thread.sleep(10);
+      }
+      while (told.requests.isEmpty()) {
+        askAnew(port, "when-back" + System.nanoTime());
+        Thread.sleep(10);
+      }
+      cue.countDown();
+      for (Socket client : open) {
+        client.setSoTimeout(Rig.LIMIT_S * 1000);
+        String answer = StubServer.Message.read(client.getInputStream());
+        assertTrue(answer.endsWith("slow") || answer.endsWith("known") || answer.startsWith("HTTP/1.1 429 "), answer);
+        client.close();
+      }
+      assertTrue(process.isAlive(), log());
+      assertFalse(log().contains("Too many open files"), log());
+    } finally {
+      for (Socket client : idle) {
+        client.close();
+      }
+    }
+  }
+}
