Learn a cold upstream's budget from a long mean, for the highest of few sends adds up

The terms: what all processes together send to a cold upstream stays within its budget of N and 2 x root of N + 2, at any fleet's size.

Suspected: the token that each process may hold for each cold upstream.

Cause: each took for usual the highest count of one second of its own in some 30 (Logic.onSweep). Of many requests that is the mean; a process with two a second saw six or seven at times, and so thought of each upstream. And 2 sends a second for a fleet without memory (COLD_TRICKLE) are over N where N is small.

Now the usual sends are a mean over 30 s, the part of the rule's multiple that they get is a constant of its own (as much as before for a multiple of 2.5), and the trickle a quarter.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -108,10 +108,14 @@
   private static final String ASK = "ask";
   /** Share of the cold budget's window that may be sent at once. */
   private static final double COLD_BURST = 0.25;
-  /** Sends a second that all balancers together may always give to a cold upstream. */
-  private static final double COLD_TRICKLE = 2;
-  /** The usual sends to an upstream are forgotten over this time: longer than most outages. */
-  private static final long SENDS_KEPT = 30 * SECOND;
+  /** The part of rule 4's multiple of the usual load that a cold upstream gets: the rest is for overload, and
+   * for chance over the whole fleet. */
+  private static final double COLD_PART = 0.4;
+  /** Sends a second that all balancers together may always give to a cold upstream: fewer than chance does. */
+  private static final double COLD_TRICKLE = 0.5;
+  /** The usual sends to an upstream are a mean over this time: longer than most outages, and of many sends
+   * where a balancer has few. */
+  private static final double SENDS_KEPT = 30 * SECOND;
 
   private final Settings settings;
   private final SplittableRandom random;
@@ -130,7 +134,8 @@
   private final Window fleet;
   private double usualInFlight;
   private double usualFor;
-  private double usualSends;
+  /** Sends to an upstream, of those that were ready. */
+  private final MeanRate usualSends;
   /** The ready upstreams by id, and the ring of which they are the members. */
   private Upstream[] owners = {};
   private Ring ring;
@@ -160,6 +165,7 @@
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     sweep = shortestAim / SWEEPS;
     fleet = new Window(window, 0);
+    usualSends = new MeanRate(SENDS_KEPT, window);
   }
 
   @Override
@@ -443,11 +449,12 @@
     return u.started <= 0 || part >= 1 ? 1 : settings.contract().coldFrom() * (1 - part) + part;
   }
 
-  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets from this
-   * balancer. The trickle guards against a fleet that is cold all at once and would wait for traffic to be
-   * allowed traffic. */
+  /** Sends that a cold upstream may still get: its warmth's part of a multiple of what a warm one usually
+   * gets from this balancer. The trickle guards against a fleet that is cold all at once and would wait for
+   * traffic to be allowed traffic. */
   private double coldTokens(Upstream u) {
-    double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usualSends);
+    double rate = Math.max(COLD_TRICKLE / settings.groupSize(),
+        COLD_PART * settings.contract().fallMultiple() * warmth(u) * usualSends.perSecond(now));
     double window = rate * settings.contract().fallWindowNanos() / SECOND;
     return u.cold.fill(now, rate, Math.max(1, window * COLD_BURST));
   }
@@ -487,6 +494,7 @@
     u.cold.tokens -= warmth(u) < 1 ? 1 : 0;
     readyLoad += r.load;
     fleet.add(now, Metric.ADMITTED, 1);
+    usualSends.add(now, 1.0 / Math.max(1, ready));
     out.accept(new Send(r.request.id(), u.id, r.request.deadlineNanos() - now));
   }
 
@@ -607,8 +615,6 @@
       usualFor = Math.min(usualFor + sweep, USUAL_WINDOWS * window);
       usualInFlight += (readyLoad / Math.max(1, ready) - usualInFlight) * sweep / usualFor;
     }
-    usualSends = Math.max(usualSends * (1 - sweep / (double) SENDS_KEPT),
-        fleet.total(now, Metric.ADMITTED) * SECOND / window / Math.max(1, ready));
     for (Open r : List.copyOf(open.values())) {
       for (Attempt a : r.attempts) {
         // Guards against upstreams that hang: a time-out may come seconds after the aim.
