Tell in the log how late a request was read, and what is in hand at the stop's end

What is answered late or badly now tells how long it may have lain unread, and the end of a stop how many requests and connections it still has.

--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -48,6 +48,8 @@
   final List<Attempt> attempts = new ArrayList<>(1);
   String id;
   long takenAt;
+  /** How long it may have lain unread by then, because the event loop was held up. */
+  long unreadNanos;
   Future<?> guard;
   int outstanding;
   /** Its client has ended its sending. */
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -155,8 +155,8 @@
     clients.hurry();
   }
 
-  boolean hasConnections() {
-    return clients.count() > 0;
+  int connections() {
+    return clients.count();
   }
 
   /**
@@ -368,10 +368,11 @@
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
+        long unread = pulse.behindNanos();
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
         exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
-            "1".equals(headers.get(RETRY)), clock.now() - pulse.behindNanos() + wait - WAY_NANOS, request.retain(),
-            this);
+            "1".equals(headers.get(RETRY)), clock.now() - unread + wait - WAY_NANOS, request.retain(), this);
+        exchange.unreadNanos = unread;
         node.take(exchange);
       }
     }
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -188,6 +188,11 @@
     return fleet.hasReady();
   }
 
+  /** Requests that have no answer, or of which an attempt is out. */
+  int inHand() {
+    return exchanges.size();
+  }
+
   /** The process is about to end: all requests in hand are answered, and what still comes is refused at once. */
   void end() {
     ended = true;
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -247,6 +247,7 @@
         finish();
       }, Math.max(ACCEPT_MILLIS, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS)), TimeUnit.MILLISECONDS);
       loop.schedule(() -> {
+        LOG.info(() -> "its time is over: " + node.inHand() + " requests in hand, " + frontend.connections() + " connections");
         node.end();
         frontend.end();
       }, stopMillis, TimeUnit.MILLISECONDS);
@@ -264,7 +265,7 @@
   }
 
   private void finish() {
-    if (frontend.hasConnections()) {
+    if (frontend.connections() > 0) {
       loop.schedule(this::finish, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     } else {
       drained.countDown();
--- a/src/main/java/cloverpulley/serve/Trail.java
+++ b/src/main/java/cloverpulley/serve/Trail.java
@@ -90,6 +90,9 @@
     StringBuilder line = new StringBuilder(200).append(x.traceId).append(' ').append(x.type.name()).append(" answered ")
         .append(status.code()).append(" after ").append(millis(now - x.takenAt)).append(" of ")
         .append(millis(x.deadline - x.takenAt)).append(" ms");
+    if (millis(x.unreadNanos) > 0) {
+      line.append(", read up to ").append(millis(x.unreadNanos)).append(" ms late");
+    }
     for (Exchange.Attempt a : x.attempts) {
       line.append("; sent to ").append(names.apply(a.call.upstream)).append(" at ").append(millis(a.sentAt - x.takenAt));
       if (a.status == null) {
--- a/src/test/java/cloverpulley/serve/TrailTest.java
+++ b/src/test/java/cloverpulley/serve/TrailTest.java
@@ -79,9 +79,10 @@
     Exchange.Attempt second = new Exchange.Attempt(1, 60 * MS);
     second.call = new Call(8, () -> true, (status, answer) -> { });
     x.attempts.addAll(List.of(first, second));
+    x.unreadNanos = 12 * MS;
     trail.answered(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
-    assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms; sent to s-7 at 10, RESET after 40; sent to s-8 at 60, out"),
-        lines);
+    assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms, read up to 12 ms late; sent to s-7 at 10, RESET after 40; "
+        + "sent to s-8 at 60, out"), lines);
   }
 
   @Test
