Open new connections to an upstream that has started anew, and force the crossings that were open

CrossingTest forces, over real connections with the loop held, what OPEN listed as not forced: answer, reset, time-out and cancel in one turn in nine orders; a reset when all but a request's last byte has been read; an upstream back at the same address, as the same or as another; SIGHUP and the stop's beginning in both orders; the old discovery's close and the reload in both orders; discovery down at a reload, then mute, then back with drains.

Found by one of them: after a restart that the list tells (a later up_since_ms, the address kept) idle connections to the process before went on being used (Node.news closed only those of upstreams that are not ready). Where its machine has vanished nothing closes them: the request waits for its time-out. They are now closed with the news. The other orders were right already.

--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -91,6 +91,7 @@
   void move(InetSocketAddress to) {
     if (!to.equals(address)) {
       address = to;
+      givenUp = 0;
       watch(watching);
     }
   }
--- a/src/main/java/cloverpulley/serve/Fleet.java
+++ b/src/main/java/cloverpulley/serve/Fleet.java
@@ -18,6 +18,7 @@
   private final Clock clock;
   private final Map<String, Long> numbers = new HashMap<>();
   private final Map<Long, Server> servers = new LinkedHashMap<>();
+  private final List<Long> restarted = new ArrayList<>();
   private long revision;
 
   Fleet(Clock clock) {
@@ -52,10 +53,12 @@
 
   /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
   ListNews take(ListKind kind, ServerList list) {
+    restarted.clear();
     if (!isNews(kind, list)) {
       return new ListNews(ListKind.DELTA, List.of());
     }
     revision = list.revision();
+    Map<Long, Server> before = new HashMap<>(servers);
     if (kind != ListKind.DELTA) {
       servers.clear();
     }
@@ -63,6 +66,10 @@
     for (Server server : list.members()) {
       long number = numbers.computeIfAbsent(server.id(), this::number);
       entries.add(listed(number, server));
+      Server was = before.get(number);
+      if (was != null && (was.upSinceMillis() != server.upSinceMillis() || !was.address().equals(server.address()))) {
+        restarted.add(number);
+      }
       if (server.state() == State.GONE) {
         servers.remove(number);
       } else {
@@ -74,6 +81,11 @@
     return new ListNews(kind, entries);
   }
 
+  /** Upstreams that, by the list last taken in, are another process than before. */
+  List<Long> restarted() {
+    return restarted;
+  }
+
   /**
    * Guards against a discovery that lags or has just lost its own list: an older version would bring back what has gone,
    * and an empty list would take the service away. Version 0 is that of a list that names none.
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -176,6 +176,8 @@
     enqueue(() -> news);
     // After the news, so that the module knows why what was still connecting comes back unsent.
     pool.withdraw(upstream -> !fleet.isReady(upstream));
+    // What was open to the process before leads nowhere; a machine that vanished has not even closed it.
+    fleet.restarted().forEach(pool::closeIdle);
   }
 
   /** Another balancer has sent a message. */
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/CrossingTest.java
@@ -0,0 +1,368 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.Cancel;
+import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.Outcome;
+import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.Send;
+import cloverpulley.Balancer.State;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.Watch;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Two events in one turn of the event loop, in the order that is asked for: the loop is held while both happen. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class CrossingTest {
+
+  private static final String NOWHERE = "127.0.0.1:1";
+  private static final long TIMEOUT = TimeUnit.MILLISECONDS.toNanos(300);
+  private static final String CUE = "X-Size-Hint: 7\r\n";
+
+  /** What the next cues do on the event loop, one each; with none left a cue does nothing. */
+  private final BlockingQueue<Consumer<Consumer<Action>>> cues = new LinkedBlockingQueue<>();
+
+  /** Sends every request but a cue to the first upstream, once. */
+  private Script module(long timeoutNanos) {
+    return new Script((event, out) -> {
+      if (event instanceof Request r && r.workHintNanos() > 0) {
+        Consumer<Consumer<Action>> cue = cues.poll();
+        if (cue != null) {
+          cue.accept(out);
+        }
+        out.accept(new Refuse(r.id(), 0));
+      } else if (event instanceof Request r) {
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), timeoutNanos));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id()));
+      }
+    });
+  }
+
+  private static void pass(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** An upstream whose connections do what they are told; they have done it when {@link #does} returns. */
+  private static final class Puppet implements AutoCloseable {
+    private final BlockingQueue<StubServer.Script> orders = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Boolean> done = new LinkedBlockingQueue<>();
+    final StubServer server = new StubServer(c -> {
+      while (c.next() != null) {
+        orders.take().run(c);
+        done.add(true);
+      }
+    });
+
+    Puppet() throws IOException {}
+
+    void does(StubServer.Script order) {
+      orders.add(order);
+      try {
+        assertNotNull(done.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      server.close();
+    }
+  }
+
+  private static void answer(StubServer.Connection c) throws IOException {
+    c.write(StubServer.ok("first"));
+  }
+
+  /** What crosses an attempt's end, in the order of the name, and what has to come of it. */
+  private enum Ends {
+    CANCEL_THEN_ANSWER(Status.CANCELLED, CrossingTest::answer),
+    CANCEL_THEN_RESET(Status.CANCELLED, StubServer.Connection::reset),
+    ANSWER_THEN_CANCEL(Status.SERVED, CrossingTest::answer),
+    RESET_THEN_CANCEL(Status.RESET, StubServer.Connection::reset),
+    ANSWER_THEN_TIME_OUT(Status.SERVED, CrossingTest::answer),
+    RESET_THEN_TIME_OUT(Status.RESET, StubServer.Connection::reset),
+    TIME_OUT_THEN_ANSWER(Status.TIMEOUT, CrossingTest::answer),
+    TIME_OUT_THEN_RESET(Status.TIMEOUT, StubServer.Connection::reset),
+    ANSWER_THEN_RESET(Status.SERVED, c -> {
+      answer(c);
+      c.reset();
+    });
+
+    final Status status;
+    final StubServer.Script upstream;
+
+    Ends(Status status, StubServer.Script upstream) {
+      this.status = status;
+      this.upstream = upstream;
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Ends.class)
+  void ofTwoEndsOfAnAttemptTheFirstHolds(Ends ends) throws Exception {
+    boolean timed = ends.name().contains("TIME_OUT");
+    Script module = module(timed ? TIMEOUT : TimeUnit.SECONDS.toNanos(30));
+    try (Puppet upstream = new Puppet(); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true,
+        Rig.member("s-1", upstream.server.address(), "ready"))), module); Client client = rig.client();
+        Client cue = rig.client(); Client second = rig.client()) {
+      switch (ends) {
+        // Decided while the other is in the kernel, not read yet.
+        case CANCEL_THEN_ANSWER, CANCEL_THEN_RESET -> cues.add(out -> {
+          upstream.does(ends.upstream);
+          out.accept(new Cancel("r0", 0));
+        });
+        // Both are read before either is told: the cancelling comes with the second cue.
+        case ANSWER_THEN_CANCEL, RESET_THEN_CANCEL -> {
+          cues.add(out -> {
+            upstream.does(ends.upstream);
+            write(second, Rig.get("cue-2", CUE));
+          });
+          cues.add(out -> out.accept(new Cancel("r0", 0)));
+        }
+        // The time is up as well when the loop goes on, and it looks at its sockets first.
+        case ANSWER_THEN_TIME_OUT, RESET_THEN_TIME_OUT -> cues.add(out -> {
+          upstream.does(ends.upstream);
+          pass(TimeUnit.NANOSECONDS.toMillis(TIMEOUT) + 50);
+        });
+        // The time is up when the second cue is told, in the same turn and after all sockets have been looked at.
+        case TIME_OUT_THEN_ANSWER, TIME_OUT_THEN_RESET -> {
+          cues.add(out -> {
+            pass(TimeUnit.NANOSECONDS.toMillis(TIMEOUT) + 50);
+            write(second, Rig.get("cue-2", CUE));
+          });
+          cues.add(out -> upstream.does(ends.upstream));
+        }
+        case ANSWER_THEN_RESET -> cues.add(out -> upstream.does(ends.upstream));
+        default -> throw new IllegalStateException();
+      }
+      client.write(Rig.get("t", ""));
+      assertNotNull(upstream.server.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      cue.ask(Rig.get("cue-1", CUE));
+      assertEquals(ends.status, module.next(Outcome.class).status());
+      String answer = client.answer();
+      assertTrue(answer.startsWith(ends.status == Status.SERVED ? "HTTP/1.1 200 " : "HTTP/1.1 502 "), answer);
+      // And what follows gets its own answer, on whatever connection.
+      client.write(Rig.get("t2", ""));
+      assertNotNull(upstream.server.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      upstream.does(c -> c.write(StubServer.ok("second")));
+      assertTrue(client.answer().endsWith("\r\n\r\nsecond"), "its own answer");
+      assertTrue(module.events.stream().filter(e -> e instanceof Outcome).count() == 1, "one outcome an attempt");
+    }
+  }
+
+  private static void write(Client client, String text) {
+    try {
+      client.write(text);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** All of it has left, and all but a byte been read: it may have run, and is not one that could not connect. */
+  @Test
+  void aResetWithinARequestsLastBytesMayHaveRun() throws Exception {
+    Script module = module(TimeUnit.SECONDS.toNanos(30));
+    String body = "x".repeat(1000);
+    try (StubServer upstream = new StubServer(c -> {
+      c.readUntil(body.substring(1));
+      c.reset();
+    }); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), module);
+        Client client = rig.client()) {
+      assertTrue(client.ask(Rig.post("t", "Idempotency-Key: k\r\n", body)).startsWith("HTTP/1.1 502 "));
+      assertEquals(Status.RESET, module.next(Outcome.class).status());
+      assertEquals(1, upstream.connections.size(), "not sent again");
+    }
+  }
+
+  /** How an upstream comes back at the address of one that was there before. */
+  @ParameterizedTest
+  @CsvSource({"s-1,gone", "s-1,ready", "s-2,gone"})
+  void aConnectionToTheProcessBeforeIsNotUsedForTheNext(String back, String before) throws Exception {
+    CountDownLatch restarted = new CountDownLatch(1);
+    AtomicInteger connections = new AtomicInteger();
+    try (StubServer upstream = new StubServer(c -> {
+      // The machine of the first process has vanished after its answer: nothing more comes, not even an end.
+      boolean first = connections.incrementAndGet() == 1;
+      for (int i = 0; c.next() != null; i++) {
+        if (!first || i == 0) {
+          c.write(StubServer.ok(first ? "before" : "next"));
+        }
+      }
+    }); StubServer discovery = new StubServer(c -> {
+      c.next();
+      restarted.await();
+      String now = Rig.member(back, upstream.address(), "ready")
+          .replace("\"up_since_ms\":0", "\"up_since_ms\":" + System.currentTimeMillis());
+      c.write(Discoveries.watch(Rig.list(2, false,
+          before.equals("ready") ? now : Rig.member("s-1", upstream.address(), before))));
+      c.write(Discoveries.chunk(Rig.list(3, false, now)));
+      c.ends();
+    })) {
+      Script module = new Script((event, out) -> {
+        if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
+          out.accept(new Watch(true));
+        } else if (event instanceof Request r) {
+          out.accept(new Send(r.id(), Discoveries.number(restarted.getCount() > 0 ? "s-1" : back), 0));
+        }
+      });
+      try (Rig rig = new Rig(Rig.config(discovery.address(),
+          Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), module); Client client = rig.client()) {
+        assertTrue(client.ask(Rig.get("t1", "")).endsWith("\r\n\r\nbefore"));
+        pass(50); // The connection has rested long enough to be used again.
+        restarted.countDown();
+        for (ListKind kind : List.of(ListKind.CACHED, ListKind.DELTA, ListKind.DELTA)) {
+          assertEquals(kind, module.next(ListNews.class).kind());
+        }
+        assertTrue(client.ask(Rig.get("t2", "")).endsWith("\r\n\r\nnext"));
+      }
+    }
+  }
+
+  /** A stop and a reload are asked for in one turn of the loop. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void aReloadAndAStopThatCrossAreBothCarriedOut(boolean stopFirst) throws Exception {
+    Script module = module(TimeUnit.SECONDS.toNanos(30));
+    try (StubServer fresh = new StubServer(StubServer.Connection::ends);
+        Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true), "pushed", 200, 1024, ""), module); Client cue = rig.client();
+        Client other = rig.client()) {
+      Thread stop = new Thread(rig.server::stop);
+      cues.add(out -> {
+        if (stopFirst) {
+          stop.start();
+          pass(100); // It waits for the loop by then.
+        }
+        reload(rig, fresh);
+        if (!stopFirst) {
+          stop.start();
+          pass(100);
+        }
+      });
+      assertTrue(cue.ask(Rig.get("cue", CUE)).startsWith("HTTP/1.1 429 "));
+      assertNotNull(fresh.connections.poll(Rig.LIMIT_S, TimeUnit.SECONDS), "discovery is followed");
+      assertTrue(other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 503 "), "it stops");
+      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      assertTrue(!stop.isAlive(), "ends");
+    }
+  }
+
+  private static void reload(Rig rig, StubServer discovery) {
+    rig.server.reload(() -> Rig.config(discovery.address(), Rig.list(1, true)));
+  }
+
+  /** The old discovery ends the watch in the turn in which the balancer is told of the new one, before or after that. */
+  @ParameterizedTest
+  @CsvSource({"true", "false"})
+  void theOldDiscoverysCloseCrossesTheReload(boolean closedFirst) throws Exception {
+    CountDownLatch close = new CountDownLatch(1);
+    CountDownLatch closed = new CountDownLatch(1);
+    String a = Rig.member("s-1", NOWHERE, "ready");
+    Script module = module(0);
+    try (StubServer old = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(2, true, a)));
+      close.await();
+      c.reset();
+      closed.countDown();
+    }); StubServer fresh = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(3, true, a, Rig.member("s-2", NOWHERE, "draining"))));
+      c.ends();
+    }); Rig rig = new Rig(Rig.config(old.address(), Rig.list(1, true, a), "pushed", 200, 1024, ""), module);
+        Client cue = rig.client(); Client second = rig.client()) {
+      assertEquals(ListKind.CACHED, module.next(ListNews.class).kind());
+      assertEquals(ListKind.FULL, module.next(ListNews.class).kind());
+      cues.add(out -> {
+        if (closedFirst) {
+          close.countDown();
+          await(closed);
+          write(second, Rig.get("cue-2", CUE)); // Read with the reset; the reload is told of after both.
+        } else {
+          reload(rig, fresh);
+          close.countDown();
+          await(closed);
+        }
+      });
+      if (closedFirst) {
+        cues.add(out -> reload(rig, fresh));
+      }
+      cue.ask(Rig.get("cue-1", CUE));
+      ListNews news = module.next(ListNews.class);
+      assertEquals(2, news.entries().size(), "by the new discovery's list");
+      pass(1000); // More than the wait before the agent is asked again.
+      assertEquals(1, fresh.connections.size(), "one watch at the new address");
+      assertNull(module.events.stream().filter(e -> e instanceof ListNews).findFirst().orElse(null));
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      assertTrue(latch.await(Rig.LIMIT_S, TimeUnit.SECONDS));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** The new discovery is down at the reload, and back with drains: they count as told 4 s after the signal. */
+  @Test
+  void drainsBehindADiscoveryThatIsDownAtTheReloadComeInTime() throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    AtomicLong reloadedAt = new AtomicLong();
+    String a = Rig.member("s-1", NOWHERE, "ready");
+    Script module = module(0);
+    try (StubServer old = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(2, true, a)));
+      c.ends();
+    }); StubServer fresh = new StubServer(c -> {
+      // Refused as often as it takes for the longest backoff, then mute, and only then there.
+      if (calls.incrementAndGet() <= 5) {
+        c.reset();
+      } else if (calls.get() == 6) {
+        c.ends();
+      } else {
+        c.next();
+        c.write(Discoveries.watch(Rig.list(3, false, a.replace("ready", "draining"))));
+        c.ends();
+      }
+    }); Rig rig = new Rig(Rig.config(old.address(), Rig.list(1, true, a), "pushed", 200, 1024, ""), module)) {
+      module.next(ListNews.class);
+      assertEquals(ListKind.FULL, module.next(ListNews.class).kind());
+      reloadedAt.set(System.nanoTime());
+      reload(rig, fresh);
+      ListNews news = module.next(ListNews.class);
+      assertEquals(List.of(State.DRAINING), news.entries().stream().map(e -> e.state()).toList());
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reloadedAt.get());
+      assertTrue(millis < 3500, "told after " + millis + " ms");
+    }
+  }
+}
--- a/src/test/java/cloverpulley/serve/StubServer.java
+++ b/src/test/java/cloverpulley/serve/StubServer.java
@@ -140,6 +140,18 @@
       socket.getOutputStream().flush();
     }
 
+    /** Reads until what has come ends so. */
+    void readUntil(String end) throws IOException {
+      StringBuilder come = new StringBuilder();
+      while (!come.toString().endsWith(end)) {
+        int b = in.read();
+        if (b < 0) {
+          return;
+        }
+        come.append((char) b);
+      }
+    }
+
     /** Ends it at once, with a reset. */
     void reset() throws IOException {
       socket.setSoLinger(true, 0);
