Let connections rest longer once a second answer has come later than they do

A second answer that comes after its connection is in use again is taken for the next request's: nothing in the protocol tells them apart. They came up to 9.2 ms after the first on record, connections rest for 10. No longer rest for all without a reason, so it is learned: one that comes late on a connection that stands idle, where it does no harm, makes all rest for twice as long as it took, 0.1 s at the most (UpstreamPool.restLonger). AttemptTest.aSecondAnswerThatCameLate...: without it the connection was used again after the time at which the last one came.

--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -51,8 +51,13 @@
    * upstream's own closing would be a reset. */
   private static final double IDLE_PART = 0.7;
   private static final long SWEEP_MILLIS = 250;
-  /** After an answer a connection rests for this long: what came with it beyond its end shows by then. */
+  /**
+   * After an answer a connection rests for this long: what came with it beyond its end shows by then. Where something has come
+   * later than that on one which stood idle, all rest for so many times as long from then on, up to the most.
+   */
   private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  private static final long REST_MOST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+  private static final int REST_TIMES = 2;
   /** An answer that has begun and is not whole after this won't be: its head does not end or its length does not fit. */
   private static final long ANSWER_MILLIS = 300;
   /** More 1xx answers than this ahead of one are without end. */
@@ -68,6 +73,7 @@
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
   private final Set<Call> connecting = new HashSet<>();
   private final Reuse reuse = new Reuse();
+  private long restNanos = REST_NANOS;
 
   /** {@code ready} tells of an upstream whether anything new may go to it. */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
@@ -182,7 +188,7 @@
   private Connection reuse(long upstream, SocketAddress address) {
     long now = System.nanoTime();
     for (Connection c : List.copyOf(idle.getOrDefault(upstream, new ArrayDeque<>()))) {
-      if (now - c.idleSince >= REST_NANOS) {
+      if (now - c.idleSince >= restNanos) {
         idle.get(upstream).remove(c);
         // Its age is looked at here as well: the sweep comes seldom for short idle times, and late when the loop is behind.
         if (now - c.idleSince <= idleNanos && c.channel.isActive() && c.channel.remoteAddress().equals(address)
@@ -238,6 +244,7 @@
           ByteBuf bytes = (ByteBuf) message;
           if (call == null || !begins(bytes)) {
             bytes.release();
+            restLonger();
             spoilt();
           } else {
             context.fireChannelRead(bytes);
@@ -254,6 +261,15 @@
       };
     }
 
+    /** What comes on an idle connection is told as a second answer, unless it comes so late that it is something else. */
+    private void restLonger() {
+      ArrayDeque<Connection> connections = idle.get(upstream);
+      long late = System.nanoTime() - idleSince;
+      if (connections != null && connections.contains(this) && late <= REST_MOST_NANOS) {
+        restNanos = Math.max(restNanos, Math.min(REST_MOST_NANOS, REST_TIMES * late));
+      }
+    }
+
     private boolean begins(ByteBuf bytes) {
       for (int i = 0; begun < START.length && i < bytes.readableBytes(); i++) {
         if (bytes.getByte(bytes.readerIndex() + i) != START[begun++]) {
--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -36,6 +36,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -181,6 +182,36 @@
     }
   }
 
+  /**
+   * A second answer has come later than a connection rests, on one that stood idle: from then on none is used again so soon, or
+   * the next one so late would be taken for another request's.
+   */
+  @Test
+  void aSecondAnswerThatCameLateMakesConnectionsRestLonger() throws Exception {
+    long lateMillis = 40;
+    AtomicInteger connections = new AtomicInteger();
+    try (StubServer upstream = new StubServer(c -> {
+      int number = connections.incrementAndGet();
+      for (String request = c.next(); request != null; request = c.next()) {
+        c.write(StubServer.ok(request.contains("X-Trace-Id: t1") ? "first" : "next"));
+        if (number == 1) {
+          Thread.sleep(lateMillis); // The lateness itself is what is tested.
+          c.write(StubServer.ok("surplus"));
+        }
+      }
+    }); Rig rig = new Rig(one(upstream.address()), new Script(LONG)); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("t1", "")).endsWith("\r\n\r\nfirst"));
+      assertTrue(upstream.connections.take().awaitEnd(), "closed by the balancer");
+      assertTrue(client.ask(Rig.get("t2", "")).endsWith("\r\n\r\nnext"));
+      Thread.sleep(lateMillis); // As long as the second answer took.
+      assertTrue(client.ask(Rig.get("t3", "")).endsWith("\r\n\r\nnext"));
+      assertEquals(3, connections.get(), "it still rests");
+      Thread.sleep(4 * lateMillis);
+      assertTrue(client.ask(Rig.get("t4", "")).endsWith("\r\n\r\nnext"));
+      assertEquals(3, connections.get(), "and is used again");
+    }
+  }
+
   /** Guards the second before the loop sees it: a connection with something unread on it is not written to. */
   @Test
   void aConnectionOnWhichSomethingHasComeIsNotQuiet() throws Exception {
