--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -110,7 +110,7 @@
   private static final double COLD_BURST = 0.25;
   /** The part of rule 4's multiple of the usual load that a cold upstream gets: the rest is for overload, and
    * for chance over the whole fleet. */
-  private static final double COLD_PART = 0.4;
+  private static final double COLD_PART = 0.48;
   /** Sends a second that all balancers together may always give a cold upstream: fewer than chance does. */
   private static final double COLD_TRICKLE = 0.5;
   /** The usual sends to an upstream are a mean over this time: longer than most outages, and of many sends
