--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -20,8 +20,8 @@
 heap=$(( heap < 12 ? 12 : heap > 64 ? 64 : heap ))
 buffers=$(( memory < 32 ? 4 : memory / 8 ))
 
-exec java -XX:SharedArchiveFile=target/cloverpulley.jsa -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
+exec java -XX:SharedArchiveFile=target/load-balancer.jsa -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
   -XX:CompileThresholdScaling=0.5 -Xms${heap}m -Xmx${heap}m -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=${buffers}m \
   -XX:MaxMetaspaceSize=32m -XX:ReservedCodeCacheSize=16m -Xss512k -XX:-UsePerfData -Dio.netty.jfr.enabled=false \
   -Dio.netty.leakDetection.level=disabled -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
-  -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=6 -XX:+ExitOnOutOfMemoryError -jar target/cloverpulley.jar serve
+  -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=6 -XX:+ExitOnOutOfMemoryError -jar target/load-balancer.jar serve
--- a/src/main/java/cloverpulley/Attempt.java
+++ b/src/main/java/loadbalancer/Attempt.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 /** One sending of a request. */
 final class Attempt {
--- a/src/main/java/cloverpulley/Balancer.java
+++ b/src/main/java/loadbalancer/Balancer.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/cloverpulley/Bucket.java
+++ b/src/main/java/loadbalancer/Bucket.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 /** A token bucket; its rate and size may differ from one filling to the next. */
 final class Bucket {
--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/loadbalancer/Logic.java
@@ -1,6 +1,6 @@
-package cloverpulley;
+package loadbalancer;
 
-import cloverpulley.Window.Metric;
+import loadbalancer.Window.Metric;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
--- a/src/main/java/cloverpulley/Main.java
+++ b/src/main/java/loadbalancer/Main.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 import java.io.IOException;
 import java.io.InputStream;
@@ -19,10 +19,10 @@
   static int run(String[] args, Map<String, String> environment, InputStream in, PrintStream out, PrintStream err)
       throws IOException {
     return switch (args.length == 1 ? args[0] : "") {
-      case "serve" -> cloverpulley.serve.Main.run(environment, err);
-      case "drill" -> cloverpulley.drill.Main.run(in, out, err);
+      case "serve" -> loadbalancer.serve.Main.run(environment, err);
+      case "drill" -> loadbalancer.drill.Main.run(in, out, err);
       default -> {
-        err.println("usage: java -jar cloverpulley.jar serve|drill");
+        err.println("usage: java -jar load-balancer.jar serve|drill");
         err.println("  serve   run one balancer, told where and how by $ROUTER_CONFIG, until SIGTERM");
         err.println("  drill   read batches of events from standard input, write actions to standard output");
         yield 2;
--- a/src/main/java/cloverpulley/MeanRate.java
+++ b/src/main/java/loadbalancer/MeanRate.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 /** What comes in a second, as a mean over a long time: the plain one while less than that has passed. */
 final class MeanRate {
--- a/src/main/java/cloverpulley/Open.java
+++ b/src/main/java/loadbalancer/Open.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/cloverpulley/Upstream.java
+++ b/src/main/java/loadbalancer/Upstream.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 /** What a balancer knows of an upstream. */
 final class Upstream {
--- a/src/main/java/cloverpulley/Window.java
+++ b/src/main/java/loadbalancer/Window.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 /** Counts and sums over the last window. */
 final class Window {
--- a/src/main/java/cloverpulley/drill/Link.java
+++ b/src/main/java/loadbalancer/drill/Link.java
@@ -1,10 +1,10 @@
-package cloverpulley.drill;
+package loadbalancer.drill;
 
-import cloverpulley.Balancer;
-import cloverpulley.Logic;
-import cloverpulley.wire.Fields;
-import cloverpulley.wire.SettingsDecoder;
-import cloverpulley.wire.WireException;
+import loadbalancer.Balancer;
+import loadbalancer.Logic;
+import loadbalancer.wire.Fields;
+import loadbalancer.wire.SettingsDecoder;
+import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
--- a/src/main/java/cloverpulley/drill/Main.java
+++ b/src/main/java/loadbalancer/drill/Main.java
@@ -1,6 +1,6 @@
-package cloverpulley.drill;
+package loadbalancer.drill;
 
-import cloverpulley.wire.WireException;
+import loadbalancer.wire.WireException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
--- a/src/main/java/cloverpulley/serve/AnswerDecoder.java
+++ b/src/main/java/loadbalancer/serve/AnswerDecoder.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
--- a/src/main/java/cloverpulley/serve/Call.java
+++ b/src/main/java/loadbalancer/serve/Call.java
@@ -1,6 +1,6 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.Status;
+import loadbalancer.Balancer.Status;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
--- a/src/main/java/cloverpulley/serve/Config.java
+++ b/src/main/java/loadbalancer/serve/Config.java
@@ -1,9 +1,9 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.Settings;
-import cloverpulley.wire.Fields;
-import cloverpulley.wire.SettingsDecoder;
-import cloverpulley.wire.WireException;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.wire.Fields;
+import loadbalancer.wire.SettingsDecoder;
+import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.util.NetUtil;
--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/loadbalancer/serve/Discovery.java
@@ -1,8 +1,8 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.wire.Fields;
-import cloverpulley.wire.WireException;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.wire.Fields;
+import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/loadbalancer/serve/Exchange.java
@@ -1,8 +1,8 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.RequestClass;
-import cloverpulley.Balancer.Status;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.RequestClass;
+import loadbalancer.Balancer.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
--- a/src/main/java/cloverpulley/serve/Fleet.java
+++ b/src/main/java/loadbalancer/serve/Fleet.java
@@ -1,10 +1,10 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.ListNews;
-import cloverpulley.Balancer.Listed;
-import cloverpulley.Balancer.State;
-import cloverpulley.serve.ServerList.Server;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.ListNews;
+import loadbalancer.Balancer.Listed;
+import loadbalancer.Balancer.State;
+import loadbalancer.serve.ServerList.Server;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/loadbalancer/serve/Frontend.java
@@ -1,10 +1,10 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.RequestClass;
-import cloverpulley.Balancer.Settings;
-import cloverpulley.Balancer.Tenant;
-import cloverpulley.serve.Clients.State;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.RequestClass;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.Balancer.Tenant;
+import loadbalancer.serve.Clients.State;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/cloverpulley/serve/LoadReport.java
+++ b/src/main/java/loadbalancer/serve/LoadReport.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.LinkedHashMap;
--- a/src/main/java/cloverpulley/serve/Main.java
+++ b/src/main/java/loadbalancer/serve/Main.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import java.io.IOException;
 import java.io.PrintStream;
--- a/src/main/java/cloverpulley/serve/PatientIoHandler.java
+++ b/src/main/java/loadbalancer/serve/PatientIoHandler.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
--- a/src/main/java/cloverpulley/serve/Peers.java
+++ b/src/main/java/loadbalancer/serve/Peers.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
--- a/src/main/java/cloverpulley/serve/Pulse.java
+++ b/src/main/java/loadbalancer/serve/Pulse.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/src/main/java/loadbalancer/serve/RequestReader.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/loadbalancer/serve/Server.java
@@ -1,10 +1,10 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer;
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.RequestClass;
-import cloverpulley.Balancer.Settings;
-import cloverpulley.Logic;
+import loadbalancer.Balancer;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.RequestClass;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.Logic;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
--- a/src/main/java/cloverpulley/serve/ServerList.java
+++ b/src/main/java/loadbalancer/serve/ServerList.java
@@ -1,7 +1,7 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.State;
-import cloverpulley.wire.Fields;
+import loadbalancer.Balancer.State;
+import loadbalancer.wire.Fields;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/cloverpulley/serve/Trail.java
+++ b/src/main/java/loadbalancer/serve/Trail.java
@@ -1,6 +1,6 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.Status;
+import loadbalancer.Balancer.Status;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/loadbalancer/serve/UpstreamPool.java
@@ -1,6 +1,6 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
-import cloverpulley.Balancer.Status;
+import loadbalancer.Balancer.Status;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
--- a/src/main/java/cloverpulley/serve/UpstreamSocket.java
+++ b/src/main/java/loadbalancer/serve/UpstreamSocket.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/loadbalancer/serve/Warmup.java
@@ -1,12 +1,12 @@
-package cloverpulley.serve;
-
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.Settings;
-import cloverpulley.Balancer.State;
-import cloverpulley.Balancer.RequestClass;
-import cloverpulley.Balancer.Tenant;
-import cloverpulley.Logic;
-import cloverpulley.serve.ServerList.Server;
+package loadbalancer.serve;
+
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.Balancer.State;
+import loadbalancer.Balancer.RequestClass;
+import loadbalancer.Balancer.Tenant;
+import loadbalancer.Logic;
+import loadbalancer.serve.ServerList.Server;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
--- a/src/main/java/cloverpulley/wire/Fields.java
+++ b/src/main/java/loadbalancer/wire/Fields.java
@@ -1,4 +1,4 @@
-package cloverpulley.wire;
+package loadbalancer.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/cloverpulley/wire/SettingsDecoder.java
+++ b/src/main/java/loadbalancer/wire/SettingsDecoder.java
@@ -1,14 +1,14 @@
-package cloverpulley.wire;
+package loadbalancer.wire;
 
-import cloverpulley.Balancer.Contract;
-import cloverpulley.Balancer.DedupScope;
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.Limits;
-import cloverpulley.Balancer.Prices;
-import cloverpulley.Balancer.RequestClass;
-import cloverpulley.Balancer.Settings;
-import cloverpulley.Balancer.Tenant;
-import cloverpulley.Balancer.WeightKind;
+import loadbalancer.Balancer.Contract;
+import loadbalancer.Balancer.DedupScope;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.Limits;
+import loadbalancer.Balancer.Prices;
+import loadbalancer.Balancer.RequestClass;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.Balancer.Tenant;
+import loadbalancer.Balancer.WeightKind;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/cloverpulley/wire/WireException.java
+++ b/src/main/java/loadbalancer/wire/WireException.java
@@ -1,4 +1,4 @@
-package cloverpulley.wire;
+package loadbalancer.wire;
 
 /** Malformed input; the message says what was wrong and, once known, on which line. */
 public final class WireException extends RuntimeException {
--- a/src/test/java/cloverpulley/AdmissionTest.java
+++ b/src/test/java/loadbalancer/AdmissionTest.java
@@ -1,17 +1,17 @@
-package cloverpulley;
+package loadbalancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.Action;
-import cloverpulley.Balancer.DedupScope;
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.Refuse;
-import cloverpulley.Balancer.Request;
-import cloverpulley.Balancer.Status;
-import cloverpulley.Balancer.Tenant;
-import cloverpulley.Window.Metric;
+import loadbalancer.Balancer.Action;
+import loadbalancer.Balancer.DedupScope;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.Refuse;
+import loadbalancer.Balancer.Request;
+import loadbalancer.Balancer.Status;
+import loadbalancer.Balancer.Tenant;
+import loadbalancer.Window.Metric;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/cloverpulley/FourRulesTest.java
+++ b/src/test/java/loadbalancer/FourRulesTest.java
@@ -1,20 +1,20 @@
-package cloverpulley;
+package loadbalancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.Action;
-import cloverpulley.Balancer.DedupScope;
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.Fail;
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.Listed;
-import cloverpulley.Balancer.Refuse;
-import cloverpulley.Balancer.Send;
-import cloverpulley.Balancer.State;
-import cloverpulley.Balancer.Status;
-import cloverpulley.Balancer.Watch;
+import loadbalancer.Balancer.Action;
+import loadbalancer.Balancer.DedupScope;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.Fail;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.Listed;
+import loadbalancer.Balancer.Refuse;
+import loadbalancer.Balancer.Send;
+import loadbalancer.Balancer.State;
+import loadbalancer.Balancer.Status;
+import loadbalancer.Balancer.Watch;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/cloverpulley/JarIT.java
+++ b/src/test/java/loadbalancer/JarIT.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
--- a/src/test/java/cloverpulley/PlacementTest.java
+++ b/src/test/java/loadbalancer/PlacementTest.java
@@ -1,18 +1,18 @@
-package cloverpulley;
+package loadbalancer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.Action;
-import cloverpulley.Balancer.DedupScope;
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.Listed;
-import cloverpulley.Balancer.Send;
-import cloverpulley.Balancer.Settings;
-import cloverpulley.Balancer.State;
-import cloverpulley.Balancer.Status;
+import loadbalancer.Balancer.Action;
+import loadbalancer.Balancer.DedupScope;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.Listed;
+import loadbalancer.Balancer.Send;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.Balancer.State;
+import loadbalancer.Balancer.Status;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
--- a/src/test/java/cloverpulley/SizeTest.java
+++ b/src/test/java/loadbalancer/SizeTest.java
@@ -1,4 +1,4 @@
-package cloverpulley;
+package loadbalancer;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 
   @Test
   void moduleStaysInsideItsLimits() throws IOException {
-    List<String> lines = Files.readAllLines(Path.of("src/main/java/cloverpulley/Logic.java"));
+    List<String> lines = Files.readAllLines(Path.of("src/main/java/loadbalancer/Logic.java"));
     long count = lines.stream().filter(l -> !l.isBlank()).count();
     assertTrue(count <= 650, "non-blank lines: " + count);
     lines.forEach(l -> assertTrue(l.length() <= 110, "over 110 columns: " + l));
--- a/src/test/java/cloverpulley/drill/LinkTest.java
+++ b/src/test/java/loadbalancer/drill/LinkTest.java
@@ -1,11 +1,11 @@
-package cloverpulley.drill;
+package loadbalancer.drill;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer;
-import cloverpulley.wire.WireException;
+import loadbalancer.Balancer;
+import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayInputStream;
@@ -100,7 +100,7 @@
   void anExceptionInTheModuleBecomesAFault() throws IOException {
     String out = talk(PROVISION, batch(1_100_000_000L, JOB.replace("\"service\":\"c\"", "\"service\":\"nope\"")));
     assertTrue(out.contains("{\"Fault\":{\"note-text\":\"java.lang.IllegalArgumentException: request of unknown class "
-        + "nope at cloverpulley.Logic.onRequest("), out);
+        + "nope at loadbalancer.Logic.onRequest("), out);
   }
 
   @ParameterizedTest
--- a/src/test/java/cloverpulley/serve/ClientTest.java
+++ b/src/test/java/loadbalancer/serve/ClientTest.java
@@ -1,11 +1,11 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.serve.Rig.Client;
+import loadbalancer.serve.Rig.Client;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/cloverpulley/serve/Discoveries.java
+++ b/src/test/java/loadbalancer/serve/Discoveries.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import java.util.List;
 
@@ -18,8 +18,8 @@
 
   /** The module's number of an upstream. */
   static long number(String id) {
-    ServerList.Server server = new ServerList.Server(id, null, "a", 0, cloverpulley.Balancer.State.READY, 1, 0);
-    return new Fleet(new Clock()).take(cloverpulley.Balancer.ListKind.FULL, new ServerList(1, true, List.of(server)))
+    ServerList.Server server = new ServerList.Server(id, null, "a", 0, loadbalancer.Balancer.State.READY, 1, 0);
+    return new Fleet(new Clock()).take(loadbalancer.Balancer.ListKind.FULL, new ServerList(1, true, List.of(server)))
         .entries().get(0).upstream();
   }
 }
--- a/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/src/test/java/loadbalancer/serve/DiscoveryTest.java
@@ -1,15 +1,15 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.FetchList;
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.ListNews;
-import cloverpulley.Balancer.Listed;
-import cloverpulley.Balancer.Watch;
-import cloverpulley.Logic;
-import cloverpulley.serve.Rig.Script;
+import loadbalancer.Balancer.FetchList;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.ListNews;
+import loadbalancer.Balancer.Listed;
+import loadbalancer.Balancer.Watch;
+import loadbalancer.Logic;
+import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.util.EnumMap;
 import java.util.List;
--- a/src/test/java/cloverpulley/serve/LeavingTest.java
+++ b/src/test/java/loadbalancer/serve/LeavingTest.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,14 +6,14 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.ClientGone;
-import cloverpulley.Balancer.Outcome;
-import cloverpulley.Balancer.Refuse;
-import cloverpulley.Balancer.Request;
-import cloverpulley.Balancer.Send;
-import cloverpulley.Balancer.Status;
-import cloverpulley.serve.Rig.Client;
-import cloverpulley.serve.Rig.Script;
+import loadbalancer.Balancer.ClientGone;
+import loadbalancer.Balancer.Outcome;
+import loadbalancer.Balancer.Refuse;
+import loadbalancer.Balancer.Request;
+import loadbalancer.Balancer.Send;
+import loadbalancer.Balancer.Status;
+import loadbalancer.serve.Rig.Client;
+import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.CountDownLatch;
--- a/src/test/java/cloverpulley/serve/LoopTest.java
+++ b/src/test/java/loadbalancer/serve/LoopTest.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/cloverpulley/serve/ReloadTest.java
+++ b/src/test/java/loadbalancer/serve/ReloadTest.java
@@ -1,15 +1,15 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.ListNews;
-import cloverpulley.Balancer.State;
-import cloverpulley.Balancer.Watch;
-import cloverpulley.serve.Rig.Client;
-import cloverpulley.serve.Rig.Script;
-import cloverpulley.wire.WireException;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.ListNews;
+import loadbalancer.Balancer.State;
+import loadbalancer.Balancer.Watch;
+import loadbalancer.serve.Rig.Client;
+import loadbalancer.serve.Rig.Script;
+import loadbalancer.wire.WireException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/cloverpulley/serve/ReuseTest.java
+++ b/src/test/java/loadbalancer/serve/ReuseTest.java
@@ -1,10 +1,10 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.serve.Rig.Client;
-import cloverpulley.serve.Rig.Script;
+import loadbalancer.serve.Rig.Client;
+import loadbalancer.serve.Rig.Script;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/cloverpulley/serve/Rig.java
+++ b/src/test/java/loadbalancer/serve/Rig.java
@@ -1,15 +1,15 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
-import cloverpulley.Balancer;
-import cloverpulley.Balancer.Action;
-import cloverpulley.Balancer.Event;
-import cloverpulley.Balancer.ListNews;
-import cloverpulley.Balancer.Outcome;
-import cloverpulley.Balancer.Request;
-import cloverpulley.Balancer.Send;
-import cloverpulley.Logic;
+import loadbalancer.Balancer;
+import loadbalancer.Balancer.Action;
+import loadbalancer.Balancer.Event;
+import loadbalancer.Balancer.ListNews;
+import loadbalancer.Balancer.Outcome;
+import loadbalancer.Balancer.Request;
+import loadbalancer.Balancer.Send;
+import loadbalancer.Logic;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/test/java/cloverpulley/serve/ServeTest.java
+++ b/src/test/java/loadbalancer/serve/ServeTest.java
@@ -1,21 +1,21 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.ClientGone;
-import cloverpulley.Balancer.Fail;
-import cloverpulley.Balancer.Outcome;
-import cloverpulley.Balancer.PeerMessage;
-import cloverpulley.Balancer.Refuse;
-import cloverpulley.Balancer.Request;
-import cloverpulley.Balancer.Send;
-import cloverpulley.Balancer.TellPeer;
-import cloverpulley.Balancer.TimerFired;
-import cloverpulley.Balancer.SetTimer;
-import cloverpulley.serve.Rig.Client;
-import cloverpulley.serve.Rig.Script;
+import loadbalancer.Balancer.ClientGone;
+import loadbalancer.Balancer.Fail;
+import loadbalancer.Balancer.Outcome;
+import loadbalancer.Balancer.PeerMessage;
+import loadbalancer.Balancer.Refuse;
+import loadbalancer.Balancer.Request;
+import loadbalancer.Balancer.Send;
+import loadbalancer.Balancer.TellPeer;
+import loadbalancer.Balancer.TimerFired;
+import loadbalancer.Balancer.SetTimer;
+import loadbalancer.serve.Rig.Client;
+import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
--- a/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/src/test/java/loadbalancer/serve/StartStopTest.java
@@ -1,16 +1,16 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.ListKind;
-import cloverpulley.Balancer.ListNews;
-import cloverpulley.Balancer.Settings;
-import cloverpulley.Balancer.State;
-import cloverpulley.serve.Rig.Script;
-import cloverpulley.serve.Warmup.Count;
+import loadbalancer.Balancer.ListKind;
+import loadbalancer.Balancer.ListNews;
+import loadbalancer.Balancer.Settings;
+import loadbalancer.Balancer.State;
+import loadbalancer.serve.Rig.Script;
+import loadbalancer.serve.Warmup.Count;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/src/test/java/cloverpulley/serve/StopTest.java
+++ b/src/test/java/loadbalancer/serve/StopTest.java
@@ -1,14 +1,14 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.Refuse;
-import cloverpulley.Balancer.Request;
-import cloverpulley.serve.Rig.Client;
-import cloverpulley.serve.Rig.Script;
+import loadbalancer.Balancer.Refuse;
+import loadbalancer.Balancer.Request;
+import loadbalancer.serve.Rig.Client;
+import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
--- a/src/test/java/cloverpulley/serve/StubServer.java
+++ b/src/test/java/loadbalancer/serve/StubServer.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/cloverpulley/serve/TrailTest.java
+++ b/src/test/java/loadbalancer/serve/TrailTest.java
@@ -1,12 +1,12 @@
-package cloverpulley.serve;
+package loadbalancer.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cloverpulley.Balancer.DedupScope;
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.RequestClass;
-import cloverpulley.Balancer.Status;
+import loadbalancer.Balancer.DedupScope;
+import loadbalancer.Balancer.Effect;
+import loadbalancer.Balancer.RequestClass;
+import loadbalancer.Balancer.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
