--- a/src/main/java/loadbalancer/MeanRate.java
+++ b/src/main/java/loadbalancer/DecayingRate.java
@@ -1,7 +1,7 @@
 package loadbalancer;
 
 /** What comes in a second, as a mean over a long time: the plain one while less than that has passed. */
-final class MeanRate {
+final class DecayingRate {
 
   private final double keptNanos;
   private final double leastNanos;
@@ -10,7 +10,7 @@
   private long at;
 
   /** A mean over less than {@code leastNanos} would be chance. */
-  MeanRate(double keptNanos, double leastNanos) {
+  DecayingRate(double keptNanos, double leastNanos) {
     this.keptNanos = keptNanos;
     this.leastNanos = leastNanos;
   }
--- a/src/main/java/loadbalancer/Ring.java
+++ b/src/main/java/loadbalancer/HashRing.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /** A consistent-hash ring: points in order, each of one member. */
-final class Ring {
+final class HashRing {
 
   /** Low bits of a point that name its member: more members than any list holds. */
   private static final long MEMBER_BITS = 0xffff;
@@ -11,7 +11,7 @@
   private final long[] points;
 
   /** Member i, known by its id wherever the ring is built, gets so many points. */
-  Ring(long[] ids, int[] counts) {
+  HashRing(long[] ids, int[] counts) {
     points = new long[Arrays.stream(counts).sum()];
     for (int member = 0, n = 0; member < ids.length; member++) {
       for (int i = 0; i < counts[member]; i++) {
--- a/src/main/java/loadbalancer/Open.java
+++ b/src/main/java/loadbalancer/InFlightRequest.java
@@ -2,22 +2,24 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.RequestClass;
 
 /** A request in hand: until it has its final answer and each of its attempts has ended. */
-final class Open {
-  final Balancer.Request request;
-  final Balancer.RequestClass type;
+final class InFlightRequest {
+  final RequestArrived request;
+  final RequestClass type;
   final long arrived;
   final boolean excess;
-  final Window endpoint;
-  final Window key;
+  final SlidingWindow endpoint;
+  final SlidingWindow key;
   final double load;
   final List<Attempt> attempts = new ArrayList<>(1);
   int out;
   boolean ended;
   boolean streaming;
 
-  Open(Balancer.Request request, Balancer.RequestClass type, long arrived, boolean excess, Window endpoint, Window key,
+  InFlightRequest(RequestArrived request, RequestClass type, long arrived, boolean excess, SlidingWindow endpoint, SlidingWindow key,
       double load) {
     this.request = request;
     this.type = type;
--- a/src/main/java/loadbalancer/Logic.java
+++ b/src/main/java/loadbalancer/LoadBalancingEngine.java
@@ -1,6 +1,5 @@
 package loadbalancer;
 
-import loadbalancer.Window.Metric;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -11,12 +10,36 @@
 import java.util.SplittableRandom;
 import java.util.TreeSet;
 import java.util.function.Consumer;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.CancelAttempt;
+import loadbalancer.DecisionEngine.ClientDisconnected;
+import loadbalancer.DecisionEngine.DedupScope;
+import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.ResponseStarted;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.TimerFired;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.DecisionEngine.WeightKind;
+import loadbalancer.SlidingWindow.Metric;
 
 /**
  * Every decision of a balancer; its interface (settings, events, actions) is in Balancer.java. Ordinary path:
  * {@link #admit} refuses at the allowed rate, {@link #place} picks by bounded load, {@link #learn} looks.
  */
-public final class Logic implements Balancer {
+public final class LoadBalancingEngine implements DecisionEngine {
 
   private static final long SECOND = 1_000_000_000L;
   /** The window in longest aims, a second at least: long enough for a mean, short enough to see it change. */
@@ -124,21 +147,21 @@
   private final long sweep;
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Map<String, Double> quotas = new HashMap<>();
-  private final Map<String, Bucket> quotaBuckets = new HashMap<>();
-  private final Map<Long, Upstream> upstreams = new LinkedHashMap<>();
-  private final Map<String, Open> open = new LinkedHashMap<>();
+  private final Map<String, TokenBucket> quotaBuckets = new HashMap<>();
+  private final Map<Long, TrackedEndpoint> upstreams = new LinkedHashMap<>();
+  private final Map<String, InFlightRequest> open = new LinkedHashMap<>();
   /** Requests without an attempt out, the most valuable first, then the oldest. */
-  private final TreeSet<Open> held = new TreeSet<>(Comparator.comparingDouble((Open r) -> -value(r))
-      .thenComparingLong(r -> r.arrived).thenComparing(r -> r.request.id()));
-  private final Map<String, Window> windows = new LinkedHashMap<>(64, 0.75f, true);
-  private final Window fleet;
+  private final TreeSet<InFlightRequest> held = new TreeSet<>(Comparator.comparingDouble((InFlightRequest r) -> -value(r))
+      .thenComparingLong(r -> r.arrived).thenComparing(r -> r.request.requestId()));
+  private final Map<String, SlidingWindow> windows = new LinkedHashMap<>(64, 0.75f, true);
+  private final SlidingWindow fleet;
   private double usualInFlight;
   private double usualFor;
   /** Sends to an upstream, of those that were ready. */
-  private final MeanRate usualSends;
+  private final DecayingRate usualSends;
   /** The ready upstreams by id, and the ring of which they are the members. */
-  private Upstream[] owners = {};
-  private Ring ring;
+  private TrackedEndpoint[] owners = {};
+  private HashRing ring;
   private int ready;
   private boolean panic;
   private boolean distrust;
@@ -154,27 +177,27 @@
   private Consumer<Action> out;
 
   /** Makes the decisions of one balancer; the seed is its only source of randomness. */
-  public Logic(Settings settings, long seed) {
+  public LoadBalancingEngine(Settings settings, long seed) {
     this.settings = settings;
     random = new SplittableRandom(seed);
     settings.classes().forEach(c -> classes.put(c.name(), c));
     settings.tenants().stream().filter(t -> t.quotaPerSecond() > 0)
-        .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.groupSize()));
+        .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.instanceCount()));
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aimNanos).min().getAsLong();
     long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     sweep = shortestAim / SWEEPS;
-    fleet = new Window(window, 0);
-    usualSends = new MeanRate(SENDS_KEPT, window);
+    fleet = new SlidingWindow(window, 0);
+    usualSends = new DecayingRate(SENDS_KEPT, window);
   }
 
   @Override
   public void handle(long nowNanos, Event event, Consumer<Action> actions) {
     now = nowNanos;
     out = actions;
-    if (event instanceof Request e) {
+    if (event instanceof RequestArrived e) {
       onRequest(e);
-    } else if (event instanceof Outcome e) {
+    } else if (event instanceof AttemptEnded e) {
       onOutcome(e);
     } else if (event instanceof TimerFired e) {
       if (e.token().equals(ASK)) {
@@ -182,14 +205,14 @@
       } else {
         onSweep();
       }
-    } else if (event instanceof ListNews e) {
+    } else if (event instanceof EndpointListUpdate e) {
       onList(e);
-    } else if (event instanceof ClientGone e) {
-      if (open.containsKey(e.id()) && !open.get(e.id()).ended) {
-        release(open.get(e.id()));
+    } else if (event instanceof ClientDisconnected e) {
+      if (open.containsKey(e.requestId()) && !open.get(e.requestId()).ended) {
+        release(open.get(e.requestId()));
       }
-    } else if (event instanceof AnswerStarted e && open.get(e.id()) != null) {
-      open.get(e.id()).streaming = true;
+    } else if (event instanceof ResponseStarted e && open.get(e.requestId()) != null) {
+      open.get(e.requestId()).streaming = true;
     }
     if (!sweeping && !open.isEmpty()) {
       sweeping = true;
@@ -205,20 +228,20 @@
     return maxRate + part * (minRate - maxRate);
   }
 
-  private void onRequest(Request request) {
+  private void onRequest(RequestArrived request) {
     RequestClass type = classes.get(request.className());
     if (type == null) {
       throw new IllegalArgumentException("request of unknown class " + request.className());
     }
     boolean excess = overQuota(request.tenant());
     String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
-    Window key = windowOf(endpoint + ' ' + request.key());
-    Open r = new Open(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
-    if (open.size() >= settings.limits().maxOpen() || !admit(r)) {
-      out.accept(new Refuse(request.id(), retryAfter(r)));
+    SlidingWindow key = windowOf(endpoint + ' ' + request.affinityKey());
+    InFlightRequest r = new InFlightRequest(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
+    if (open.size() >= settings.limits().maxInFlightRequests() || !admit(r)) {
+      out.accept(new RejectRequest(request.requestId(), retryAfter(r)));
       return;
     }
-    open.put(request.id(), r);
+    open.put(request.requestId(), r);
     retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_SHARE);
     advance(r);
   }
@@ -229,7 +252,7 @@
       return false;
     }
     windowOf(tenant).add(now, Metric.OFFERED, 1);
-    Bucket quota = quotaBuckets.computeIfAbsent(tenant, k -> new Bucket());
+    TokenBucket quota = quotaBuckets.computeIfAbsent(tenant, k -> new TokenBucket());
     double rate = quotas.get(tenant) * carried(tenant);
     boolean over = quota.fill(now, rate, Math.max(QUOTA_LEAST, rate * QUOTA_BURST)) < 1;
     quota.tokens -= over ? 0 : 1;
@@ -250,10 +273,10 @@
     return others == 0 ? 1 : Math.max(1, times[(others - 1) / 2]);
   }
 
-  private Window windowOf(String name) {
-    Window w = windows.computeIfAbsent(name, k -> new Window(window, now));
+  private SlidingWindow windowOf(String name) {
+    SlidingWindow w = windows.computeIfAbsent(name, k -> new SlidingWindow(window, now));
     // One idle for its length tells what a new one does. Guards the memory: on long days keys are ever new.
-    Iterator<Window> eldest = windows.values().iterator();
+    Iterator<SlidingWindow> eldest = windows.values().iterator();
     for (int i = 0; i < FORGET && windows.size() > 1
         && (windows.size() > MAX_KEYS | eldest.next().isIdle(now)); i++) {
       eldest.remove();
@@ -268,13 +291,13 @@
   /** Refuses at the allowed rate; the key is the endpoint: class, tenant, within or over quota. Overload of
    * the fleet is nobody's key, so the line takes the worse of its mean and the fleet's. Work over a quota is
    * worth less, so its line falls sooner: one tenant throttles itself first. */
-  private boolean admit(Open r) {
+  private boolean admit(InFlightRequest r) {
     r.key.add(now, Metric.OFFERED, 1);
     r.endpoint.add(now, Metric.OFFERED, 1);
     fleet.add(now, Metric.OFFERED, 1);
     double mean = Math.max(r.endpoint.mean(now), fleet.mean(now));
     double maxRate = r.endpoint.total(now, Metric.OFFERED) * HEADROOM;
-    double early = r.excess ? EXCESS_EARLY + (1 - EXCESS_EARLY) * settings.overShareWorth() : 1;
+    double early = r.excess ? EXCESS_EARLY + (1 - EXCESS_EARLY) * settings.overQuotaWeight() : 1;
     double allowed = allowedRate(mean, MIN_VALUE * early, MAX_VALUE * early, maxRate, maxRate * MIN_PART);
     // Guards work inside a quota from what this balancer did not cause: no more is out than while healthy.
     boolean idle = quotas.containsKey(r.request.tenant())
@@ -286,8 +309,8 @@
     return true;
   }
 
-  private double value(Open r) {
-    return r.type.worth() * (r.excess ? settings.overShareWorth() : 1);
+  private double value(InFlightRequest r) {
+    return r.type.priorityWeight() * (r.excess ? settings.overQuotaWeight() : 1);
   }
 
   /** Load in mean requests, by the hint if there is one: a few heavy ones fill an upstream that a count calls
@@ -303,18 +326,18 @@
   }
 
   /** Full jitter, or those refused together would come back together. */
-  private long retryAfter(Open r) {
+  private long retryAfter(InFlightRequest r) {
     double most = settings.limits().retryAfter()
-        ? Math.min(settings.limits().maxRetryAfterNanos(), BACK_PART * r.type.aimNanos()) : 0;
+        ? Math.min(settings.limits().maxRetryAfterNanos(), BACK_PART * r.type.latencyObjectiveNanos()) : 0;
     return (long) (most * random.nextDouble());
   }
 
   // ---- Placement: bounded-load hashing on a ring of ready upstreams -------------------------------------
 
   private void rebuildRing() {
-    Upstream[] before = owners;
-    owners = upstreams.values().stream().filter(u -> u.listed.state() == State.READY)
-        .sorted(Comparator.comparingLong(u -> u.id)).toArray(Upstream[]::new);
+    TrackedEndpoint[] before = owners;
+    owners = upstreams.values().stream().filter(u -> u.listed.state() == EndpointState.READY)
+        .sorted(Comparator.comparingLong(u -> u.id)).toArray(TrackedEndpoint[]::new);
     if (Arrays.equals(before, owners)) {
       return; // Building is the dearest step in a large fleet; most news is of drains that end.
     }
@@ -325,27 +348,27 @@
       // Kept for life, so that a change of the list moves the changed upstream's keys only.
       weightUnit = Arrays.stream(owners).mapToDouble(u -> u.listed.weight()).sorted().toArray()[ready / 2];
     }
-    ring = new Ring(Arrays.stream(owners).mapToLong(u -> u.id).toArray(),
+    ring = new HashRing(Arrays.stream(owners).mapToLong(u -> u.id).toArray(),
         Arrays.stream(owners).mapToInt(u -> (int) Math.round(POINTS * (sized ? share(u) : 1))).toArray());
   }
 
-  private double share(Upstream u) {
+  private double share(TrackedEndpoint u) {
     return weightUnit <= 0 ? 1
         : Math.min(WEIGHT_MOST, Math.max(1 / WEIGHT_MOST, u.listed.weight() / weightUnit));
   }
 
   /** The first upstream from the key's place on the ring that may take it, own zone first; or null. */
-  private Upstream place(Open r) {
-    long point = r.request.key() == null ? random.nextLong() : Ring.mix(Ring.mix(r.request.key().hashCode()));
+  private TrackedEndpoint place(InFlightRequest r) {
+    long point = r.request.affinityKey() == null ? random.nextLong() : HashRing.mix(HashRing.mix(r.request.affinityKey().hashCode()));
     int start = ready == 0 ? 0 : ring.start(point);
     // Guards against keys that leave their warm upstreams in a crowd: each move is work, and so more crowd.
     double share = r.key.total(now, Metric.OFFERED) / Math.max(1, fleet.total(now, Metric.OFFERED));
-    double most = settings.warmKeys() ? KEY_SPREAD + Math.ceil(KEY_SPREAD * ready * share) : ready;
-    Upstream away = null;
-    Upstream passed = null;
+    double most = settings.keyAffinity() ? KEY_SPREAD + Math.ceil(KEY_SPREAD * ready * share) : ready;
+    TrackedEndpoint away = null;
+    TrackedEndpoint passed = null;
     visits++;
     for (int i = 0, seen = 0, tried = 0; seen < ready && tried < most; i++) {
-      Upstream u = owners[ring.member(start + i)];
+      TrackedEndpoint u = owners[ring.member(start + i)];
       if (u.visit == visits) {
         continue;
       }
@@ -357,7 +380,7 @@
         // With under one in flight at each no cap tells a crowded one: a slow one keeps a part of its keys. A
         // cold one is slow by its warmth: that is what its budget is for, and it gets warm by what it serves.
         double slow = slowness(u) * warmth(u);
-        boolean keeps = hasRoom && Ring.fraction(point, u.id) * Math.pow(slow, SLOW_POWER) < 1;
+        boolean keeps = hasRoom && HashRing.fraction(point, u.id) * Math.pow(slow, SLOW_POWER) < 1;
         if (near && keeps) {
           return u;
         }
@@ -369,36 +392,36 @@
     return passed == null || away != null && slowness(passed) > LEAVE_AT ? away : passed;
   }
 
-  private double slowness(Upstream u) {
+  private double slowness(TrackedEndpoint u) {
     return u.slowness(now, SLOW_KEPT);
   }
 
-  private void learnSlowness(Upstream u, double part) {
+  private void learnSlowness(TrackedEndpoint u, double part) {
     double against = Math.min(SLOW_MOST, fleet.mean(now) > 0 ? part / fleet.mean(now) : Math.max(1, part));
     u.addSlowness(now, against, SLOW_MEAN, SLOW_STEP, SLOW_KEPT);
   }
 
-  private boolean usable(Upstream u) {
+  private boolean usable(TrackedEndpoint u) {
     return (panic || u.ejectedUntil <= now && !silent(u))
         && (warmth(u) >= 1 || coldTokens(u) >= 1);
   }
 
   /** Guards what can't be sent again from an upstream that fails quickly. A balancer of many meets it too
    * seldom to wait for three failures in a row; what may be repeated finds out at less cost. */
-  private boolean trusted(Open r, Upstream u) {
-    return r.type.effect() != Effect.UNSAFE || !distrust || u.failed(now, FAILED_KEPT) < FAILED_MOST;
+  private boolean trusted(InFlightRequest r, TrackedEndpoint u) {
+    return r.type.idempotence() != Idempotence.NON_IDEMPOTENT || !distrust || u.failed(now, FAILED_KEPT) < FAILED_MOST;
   }
 
   /** The load up to which an upstream may take a request. A cold one holds its warmth's part: as much
    * as a warm one keeps it busy for seconds, and before its first answers nothing tells of its room. */
-  private double bound(Upstream u) {
+  private double bound(TrackedEndpoint u) {
     double least = warmth(u) < 1 ? 1 : CAP_LEAST;
     return Math.max(least, Math.min(Math.ceil(warmth(u) * (1 + SLACK) * (readyLoad + 1) / ready), room(u)));
   }
 
   /** Little's law: answers a second times the latency wanted. Guards against bursts that wait in a queue past
    * their aim, of which the line learns too late. No bound before enough answers: a restart would starve. */
-  private double room(Upstream u) {
+  private double room(TrackedEndpoint u) {
     if (u.firstServed == 0
         || now - u.firstServed < window / 4 && u.window.total(now, Metric.SAMPLES) < ENOUGH) {
       return Double.MAX_VALUE;
@@ -408,26 +431,26 @@
   }
 
   /** Nothing heard for far longer than its answers usually lie apart: frozen or dead, before a time-out. */
-  private boolean silent(Upstream u) {
+  private boolean silent(TrackedEndpoint u) {
     return u.inFlight > 0 && u.window.total(now, Metric.SAMPLES) >= SILENT_SAMPLES && now - u.heardAt
         > Math.max(SILENT_GAPS * u.window.mean(now) / u.inFlight, SILENT_PART * shortestAim);
   }
 
   // ---- Rule 2: where a request may still go -------------------------------------------------------------
 
-  private boolean mayGoTo(Open r, Upstream u) {
+  private boolean mayGoTo(InFlightRequest r, TrackedEndpoint u) {
     for (Attempt a : r.attempts) {
       if (a.upstream == u && (a.out || ready > r.attempts.size())) {
         return false;
       }
-      if (a.mayHaveRun && r.type.effect() != Effect.SAFE) {
+      if (a.mayHaveRun && r.type.idempotence() != Idempotence.IDEMPOTENT) {
         boolean sameGroup = switch (r.type.dedupScope()) {
           case ALL -> true;
           case ZONE -> a.upstream.listed.zone().equals(u.listed.zone());
           case CELL -> a.upstream.listed.cell() == u.listed.cell();
         };
         // The window is cut by a tick, against a balancer that carries the sending out a moment later.
-        if (r.type.effect() == Effect.UNSAFE || !sameGroup
+        if (r.type.idempotence() == Idempotence.NON_IDEMPOTENT || !sameGroup
             || now - a.sentAt >= r.type.dedupWindowNanos() - settings.tickNanos()) {
           return false;
         }
@@ -436,42 +459,42 @@
     return true;
   }
 
-  private boolean mayRefuse(Open r) {
-    return r.type.effect() == Effect.SAFE || !r.mayHaveRun()
-        || r.type.effect() == Effect.KEYED && r.type.dedupScope() == DedupScope.ALL;
+  private boolean mayRefuse(InFlightRequest r) {
+    return r.type.idempotence() == Idempotence.IDEMPOTENT || !r.mayHaveRun()
+        || r.type.idempotence() == Idempotence.IDEMPOTENCY_KEY && r.type.dedupScope() == DedupScope.ALL;
   }
 
   // ---- Rule 4: cold upstreams ---------------------------------------------------------------------------
 
   /** The part of its capacity that an upstream surely has: from cold-from, evenly, to the whole. */
-  private double warmth(Upstream u) {
-    double part = Math.max(0, now - u.started) / (double) Math.max(1, settings.contract().warmWithinNanos());
-    return u.started <= 0 || part >= 1 ? 1 : settings.contract().coldFrom() * (1 - part) + part;
+  private double warmth(TrackedEndpoint u) {
+    double part = Math.max(0, now - u.started) / (double) Math.max(1, settings.contract().slowStartNanos());
+    return u.started <= 0 || part >= 1 ? 1 : settings.contract().initialCapacity() * (1 - part) + part;
   }
 
   /** Sends that a cold upstream may still get: its warmth's part of a multiple of what a warm one usually
    * gets from this balancer. The trickle guards against a fleet that is cold all at once and would wait for
    * traffic to be allowed traffic. */
-  private double coldTokens(Upstream u) {
-    double rate = Math.max(COLD_TRICKLE / settings.groupSize(),
-        COLD_PART * settings.contract().fallMultiple() * warmth(u) * usualSends.perSecond(now));
-    double window = rate * settings.contract().fallWindowNanos() / SECOND;
+  private double coldTokens(TrackedEndpoint u) {
+    double rate = Math.max(COLD_TRICKLE / settings.instanceCount(),
+        COLD_PART * settings.contract().overloadMultiple() * warmth(u) * usualSends.perSecond(now));
+    double window = rate * settings.contract().overloadWindowNanos() / SECOND;
     return u.cold.fill(now, rate, Math.max(1, window * COLD_BURST));
   }
 
   // ---- Life of a request --------------------------------------------------------------------------------
 
   /** Sends a request that has no attempt out, or ends it, or holds it; true if it was sent or ended. */
-  private boolean advance(Open r) {
+  private boolean advance(InFlightRequest r) {
     boolean first = r.attempts.isEmpty();
     boolean over = r.attempts.size() >= settings.limits().maxAttempts() || !first && retryTokens < 1
-        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || tooLate(r);
-    Upstream u = over ? null : place(r);
+        || r.type.idempotence() == Idempotence.NON_IDEMPOTENT && r.mayHaveRun() || tooLate(r);
+    TrackedEndpoint u = over ? null : place(r);
     if (u != null) {
       retryTokens -= first ? 0 : 1;
       held.remove(r);
       send(r, u);
-    } else if (over || first && now >= r.arrived + HOLD_PART * r.type.aimNanos() || !first && ready == 0) {
+    } else if (over || first && now >= r.arrived + HOLD_PART * r.type.latencyObjectiveNanos() || !first && ready == 0) {
       finish(r);
     } else {
       held.add(r);
@@ -481,11 +504,11 @@
   }
 
   /** Whether the client is about to leave: no answer to a new attempt would reach it. */
-  private boolean tooLate(Open r) {
+  private boolean tooLate(InFlightRequest r) {
     return now >= r.request.deadlineNanos() - 2 * sweep;
   }
 
-  private void send(Open r, Upstream u) {
+  private void send(InFlightRequest r, TrackedEndpoint u) {
     r.attempts.add(new Attempt(u, now));
     r.out++;
     u.heardAt = u.inFlight == 0 ? now : u.heardAt;
@@ -495,45 +518,45 @@
     readyLoad += r.load;
     fleet.add(now, Metric.ADMITTED, 1);
     usualSends.add(now, 1.0 / Math.max(1, ready));
-    out.accept(new Send(r.request.id(), u.id, r.request.deadlineNanos() - now));
+    out.accept(new StartAttempt(r.request.requestId(), u.id, r.request.deadlineNanos() - now));
   }
 
   /** A second copy past a silent upstream, where class and settings allow it and the fleet is healthy. */
-  private void hedge(Open r) {
+  private void hedge(InFlightRequest r) {
     Attempt last = r.attempts.get(r.attempts.size() - 1);
-    if (!settings.limits().secondCopies() || !settings.limits().cancel() || !silent(last.upstream)
-        || retryTokens < 1 || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.aimNanos()
+    if (!settings.limits().hedging() || !settings.limits().cancellation() || !silent(last.upstream)
+        || retryTokens < 1 || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.latencyObjectiveNanos()
         || r.attempts.size() >= settings.limits().maxAttempts() || tooLate(r)) {
       return;
     }
-    Upstream u = r.type.effect() == Effect.UNSAFE ? null : place(r);
+    TrackedEndpoint u = r.type.idempotence() == Idempotence.NON_IDEMPOTENT ? null : place(r);
     if (u != null) {
       retryTokens--;
       send(r, u);
     }
   }
 
-  private void finish(Open r) {
-    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter(r)) : new Fail(r.request.id()));
+  private void finish(InFlightRequest r) {
+    out.accept(mayRefuse(r) ? new RejectRequest(r.request.requestId(), retryAfter(r)) : new FailRequest(r.request.requestId()));
     release(r);
   }
 
   /** The request has its final answer: stops what it still has out, forgets it once nothing is. */
-  private void release(Open r) {
+  private void release(InFlightRequest r) {
     r.ended = true;
     held.remove(r);
     if (r.out == 0) {
-      open.remove(r.request.id());
+      open.remove(r.request.requestId());
     }
-    for (int i = 0; i < r.attempts.size() && settings.limits().cancel(); i++) {
+    for (int i = 0; i < r.attempts.size() && settings.limits().cancellation(); i++) {
       if (r.attempts.get(i).out) {
-        out.accept(new Cancel(r.request.id(), i));
+        out.accept(new CancelAttempt(r.request.requestId(), i));
       }
     }
   }
 
-  private void onOutcome(Outcome o) {
-    Open r = open.get(o.id());
+  private void onOutcome(AttemptEnded o) {
+    InFlightRequest r = open.get(o.requestId());
     if (r == null || o.attempt() >= r.attempts.size() || !r.attempts.get(o.attempt()).out) {
       return;
     }
@@ -544,44 +567,44 @@
     a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
     a.upstream.heardAt = now;
     r.out--;
-    readyLoad -= a.upstream.listed.state() == State.READY ? r.load : 0;
+    readyLoad -= a.upstream.listed.state() == EndpointState.READY ? r.load : 0;
     learn(r, a, o);
     if (r.ended && r.out == 0) {
-      open.remove(o.id());
+      open.remove(o.requestId());
     } else if (!r.ended && o.finished()) {
       release(r);
     } else if (!r.ended && r.out == 0) {
       advance(r);
     }
     int tries = HELD_TRIES;
-    for (Open h = held.isEmpty() ? null : held.first(); h != null && tries > 0; h = held.higher(h)) {
+    for (InFlightRequest h = held.isEmpty() ? null : held.first(); h != null && tries > 0; h = held.higher(h)) {
       tries -= advance(h) ? 0 : 1;
     }
   }
 
-  private void learn(Open r, Attempt a, Outcome o) {
-    Upstream u = a.upstream;
-    if (o.status() == Status.SERVED) {
+  private void learn(InFlightRequest r, Attempt a, AttemptEnded o) {
+    TrackedEndpoint u = a.upstream;
+    if (o.status() == AttemptStatus.SUCCESS) {
       u.failures = 0;
       u.ejections = 0;
       u.addFailed(now, 0, FAILED_STEP, FAILED_KEPT);
       u.firstServed = u.firstServed == 0 ? now : u.firstServed;
-      u.window.add(now, Metric.AIMS, r.load * r.type.aimNanos() / SECOND);
+      u.window.add(now, Metric.AIMS, r.load * r.type.latencyObjectiveNanos() / SECOND);
       u.window.add(now, Metric.SAMPLES, 1);
       u.window.add(now, Metric.SUM, r.load * o.latencyNanos());
-      learnSlowness(u, (double) o.latencyNanos() / r.type.aimNanos());
-      sample(r, (double) (now - r.arrived) / r.type.aimNanos());
-    } else if (o.status() == Status.FULL) {
+      learnSlowness(u, (double) o.latencyNanos() / r.type.latencyObjectiveNanos());
+      sample(r, (double) (now - r.arrived) / r.type.latencyObjectiveNanos());
+    } else if (o.status() == AttemptStatus.REJECTED) {
       learnSlowness(u, Double.MAX_VALUE);
-    } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
-      double took = (double) (now - r.arrived) / r.type.aimNanos();
-      double limit = (double) r.type.deadlineNanos() / r.type.aimNanos();
+    } else if (o.status() != AttemptStatus.CANCELLED && o.status() != AttemptStatus.NOT_SENT) {
+      double took = (double) (now - r.arrived) / r.type.latencyObjectiveNanos();
+      double limit = (double) r.type.deadlineNanos() / r.type.latencyObjectiveNanos();
       // A client that waits for less than the aim ends its attempts itself: no upstream is to blame for that.
       // Guards the others: a few seconds of such clients had healthy upstreams ejected and the rest refused.
-      boolean hurried = o.status() == Status.TIMEOUT && now - a.sentAt < r.type.aimNanos();
+      boolean hurried = o.status() == AttemptStatus.TIMEOUT && now - a.sentAt < r.type.latencyObjectiveNanos();
       // A time-out adds its limit, another failure its latency and no less than the mean: quick ones must not
       // pull it down. Guards work that others could do: charged the limit, a few resets had it all refused.
-      sample(r, o.status() == Status.TIMEOUT && !hurried ? limit
+      sample(r, o.status() == AttemptStatus.TIMEOUT && !hurried ? limit
           : Math.max(took, Math.max(r.endpoint.mean(now), fleet.mean(now))));
       if (hurried) {
         return;
@@ -596,8 +619,8 @@
   }
 
   /** Response time as the client sees it, in parts of the aim. */
-  private void sample(Open r, double part) {
-    for (Window w : List.of(r.endpoint, fleet)) {
+  private void sample(InFlightRequest r, double part) {
+    for (SlidingWindow w : List.of(r.endpoint, fleet)) {
       w.add(now, Metric.SAMPLES, 1);
       w.add(now, Metric.SUM, part);
     }
@@ -615,10 +638,10 @@
       usualFor = Math.min(usualFor + sweep, USUAL_WINDOWS * window);
       usualInFlight += (readyLoad / Math.max(1, ready) - usualInFlight) * sweep / usualFor;
     }
-    for (Open r : List.copyOf(open.values())) {
+    for (InFlightRequest r : List.copyOf(open.values())) {
       for (Attempt a : r.attempts) {
         // Guards against upstreams that hang: a time-out may come seconds after the aim.
-        if (a.out && !a.late && now - a.sentAt > r.type.aimNanos()) {
+        if (a.out && !a.late && now - a.sentAt > r.type.latencyObjectiveNanos()) {
           a.late = true;
           learnSlowness(a.upstream, Double.MAX_VALUE);
         }
@@ -641,32 +664,32 @@
   private void ask() {
     if (now >= askAt) {
       askAt = Long.MAX_VALUE;
-      out.accept(new Watch(true));
+      out.accept(new WatchEndpoints(true));
     }
   }
 
-  private void onList(ListNews news) {
-    if (news.kind() == ListKind.FAILED) {
+  private void onList(EndpointListUpdate news) {
+    if (news.kind() == UpdateKind.FAILED) {
       // Full jitter, or all balancers would come back to the list service at once.
       askAt = now + (long) (askBackoff(askFailures++) * random.nextDouble());
       out.accept(new SetTimer(ASK, askAt));
       return;
     }
-    if (news.kind() != ListKind.CACHED) {
+    if (news.kind() != UpdateKind.CACHED) {
       askFailures = 0;
-    } else if (settings.listOnRequest()) {
-      out.accept(new Watch(true));
+    } else if (settings.polledDiscovery()) {
+      out.accept(new WatchEndpoints(true));
     }
-    Map<Long, Listed> entries = new LinkedHashMap<>();
-    news.entries().forEach(e -> entries.put(e.upstream(), e));
-    if (news.kind() != ListKind.DELTA) {
+    Map<Long, Endpoint> entries = new LinkedHashMap<>();
+    news.endpoints().forEach(e -> entries.put(e.id(), e));
+    if (news.kind() != UpdateKind.DELTA) {
       // One that is absent from a full list is gone.
-      upstreams.forEach((id, u) -> entries.putIfAbsent(id, new Listed(id, u.listed.zone(), u.listed.cell(),
-          State.GONE, u.started, u.listed.weight())));
+      upstreams.forEach((id, u) -> entries.putIfAbsent(id, new Endpoint(id, u.listed.zone(), u.listed.cell(),
+          EndpointState.GONE, u.started, u.listed.weight())));
     }
-    for (Listed e : entries.values()) {
-      Upstream u = upstreams.computeIfAbsent(e.upstream(),
-          id -> new Upstream(id, new Window(window / 2, now)));
+    for (Endpoint e : entries.values()) {
+      TrackedEndpoint u = upstreams.computeIfAbsent(e.id(),
+          id -> new TrackedEndpoint(id, new SlidingWindow(window / 2, now)));
       if (e.startedNanos() > u.started) {
         u.started = e.startedNanos();
         u.failures = 0;
@@ -679,7 +702,7 @@
       }
       u.listed = e;
     }
-    upstreams.values().removeIf(u -> u.listed.state() == State.GONE && u.inFlight == 0);
+    upstreams.values().removeIf(u -> u.listed.state() == EndpointState.GONE && u.inFlight == 0);
     rebuildRing();
   }
 }
--- a/src/main/java/loadbalancer/Main.java
+++ b/src/main/java/loadbalancer/Main.java
@@ -4,6 +4,8 @@
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.util.Map;
+import loadbalancer.drill.SimulateCommand;
+import loadbalancer.serve.ServeCommand;
 
 /** Entry point: the real balancer or the adapter to the simulator, around the same decisions. */
 public final class Main {
@@ -19,8 +21,8 @@
   static int run(String[] args, Map<String, String> environment, InputStream in, PrintStream out, PrintStream err)
       throws IOException {
     return switch (args.length == 1 ? args[0] : "") {
-      case "serve" -> loadbalancer.serve.Main.run(environment, err);
-      case "drill" -> loadbalancer.drill.Main.run(in, out, err);
+      case "serve" -> ServeCommand.run(environment, err);
+      case "drill" -> SimulateCommand.run(in, out, err);
       default -> {
         err.println("usage: java -jar load-balancer.jar serve|drill");
         err.println("  serve   run one balancer, told where and how by $ROUTER_CONFIG, until SIGTERM");
--- a/src/main/java/loadbalancer/Window.java
+++ b/src/main/java/loadbalancer/SlidingWindow.java
@@ -1,7 +1,7 @@
 package loadbalancer;
 
 /** Counts and sums over the last window. */
-final class Window {
+final class SlidingWindow {
 
   /** What a window counts: offers, admissions, samples, the sum of their latencies, the sum of their aims. */
   enum Metric { OFFERED, ADMITTED, SAMPLES, SUM, AIMS }
@@ -14,7 +14,7 @@
   private final double[] totals = new double[Metric.values().length];
   private long slot;
 
-  Window(long lengthNanos, long now) {
+  SlidingWindow(long lengthNanos, long now) {
     slotNanos = lengthNanos / SLOTS;
     slot = now / slotNanos;
   }
--- a/src/main/java/loadbalancer/Bucket.java
+++ b/src/main/java/loadbalancer/TokenBucket.java
@@ -1,7 +1,7 @@
 package loadbalancer;
 
 /** A token bucket; its rate and size may differ from one filling to the next. */
-final class Bucket {
+final class TokenBucket {
   double tokens;
   long filledAt;
 
--- a/src/main/java/loadbalancer/Upstream.java
+++ b/src/main/java/loadbalancer/TrackedEndpoint.java
@@ -1,11 +1,13 @@
 package loadbalancer;
 
+import loadbalancer.DecisionEngine.Endpoint;
+
 /** What a balancer knows of an upstream. */
-final class Upstream {
+final class TrackedEndpoint {
   final long id;
-  final Window window;
-  final Bucket cold = new Bucket();
-  Balancer.Listed listed;
+  final SlidingWindow window;
+  final TokenBucket cold = new TokenBucket();
+  Endpoint listed;
   long started;
   long firstServed;
   long heardAt;
@@ -20,7 +22,7 @@
   private double failed;
   private long failedAt;
 
-  Upstream(long id, Window window) {
+  TrackedEndpoint(long id, SlidingWindow window) {
     this.id = id;
     this.window = window;
   }
--- a/src/main/java/loadbalancer/drill/Encoder.java
+++ b/src/main/java/loadbalancer/drill/ActionEncoder.java
@@ -1,60 +1,59 @@
 package loadbalancer.drill;
 
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Cancel;
-import loadbalancer.Balancer.CloseIdle;
-import loadbalancer.Balancer.Fail;
-import loadbalancer.Balancer.FetchList;
-import loadbalancer.Balancer.Log;
-import loadbalancer.Balancer.Probe;
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.SetTimer;
-import loadbalancer.Balancer.TellPeer;
-import loadbalancer.Balancer.Watch;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.util.Base64;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.CancelAttempt;
+import loadbalancer.DecisionEngine.CheckHealth;
+import loadbalancer.DecisionEngine.CloseIdleConnections;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.FetchEndpoints;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.SendGossip;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.WatchEndpoints;
 
 /** Writes the module's actions in the wire's words. */
-final class Encoder {
+final class ActionEncoder {
 
-  private Encoder() {}
+  private ActionEncoder() {}
 
   /** Writes one action as an object with a single key. */
   static void write(JsonGenerator out, Action action) throws IOException {
-    if (action instanceof Send a) {
+    if (action instanceof StartAttempt a) {
       open(out, "Deliver");
-      out.writeStringField("rid", a.id());
+      out.writeStringField("rid", a.requestId());
       out.writeNumberField("patience-ns", a.timeoutNanos());
-      out.writeNumberField("upstream", a.upstream());
-    } else if (action instanceof Cancel a) {
+      out.writeNumberField("upstream", a.endpointId());
+    } else if (action instanceof CancelAttempt a) {
       open(out, "AbortAttempt");
-      out.writeStringField("rid", a.id());
+      out.writeStringField("rid", a.requestId());
       out.writeNumberField("go", a.attempt());
-    } else if (action instanceof Refuse a) {
+    } else if (action instanceof RejectRequest a) {
       open(out, "Decline");
-      out.writeStringField("rid", a.id());
+      out.writeStringField("rid", a.requestId());
       out.writeNumberField("not-before-for-ns", a.retryAfterNanos());
-    } else if (action instanceof Fail a) {
+    } else if (action instanceof FailRequest a) {
       open(out, "DropRequest");
-      out.writeStringField("rid", a.id());
+      out.writeStringField("rid", a.requestId());
     } else if (action instanceof SetTimer a) {
       open(out, "SetTimer");
       out.writeStringField("handle", a.token());
       out.writeNumberField("fire-at-ns", a.atNanos());
-    } else if (action instanceof Watch a) {
+    } else if (action instanceof WatchEndpoints a) {
       open(out, "Observe");
-      out.writeBooleanField("enable", a.on());
-    } else if (action instanceof FetchList) {
+      out.writeBooleanField("enable", a.enabled());
+    } else if (action instanceof FetchEndpoints) {
       open(out, "Resolve");
-    } else if (action instanceof Probe a) {
+    } else if (action instanceof CheckHealth a) {
       open(out, "SoundOut");
-      out.writeNumberField("upstream", a.upstream());
-    } else if (action instanceof CloseIdle a) {
+      out.writeNumberField("upstream", a.endpointId());
+    } else if (action instanceof CloseIdleConnections a) {
       open(out, "Release");
-      out.writeNumberField("upstream", a.upstream());
-    } else if (action instanceof TellPeer a) {
+      out.writeNumberField("upstream", a.endpointId());
+    } else if (action instanceof SendGossip a) {
       open(out, "BroadcastTo");
       out.writeNumberField("recipient", a.to());
       out.writeStringField("octets", Base64.getEncoder().encodeToString(a.data()));
--- a/src/main/java/loadbalancer/drill/Main.java
+++ b/src/main/java/loadbalancer/drill/SimulateCommand.java
@@ -1,21 +1,21 @@
 package loadbalancer.drill;
 
-import loadbalancer.wire.WireException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
+import loadbalancer.wire.MalformedInputException;
 
 /** Entry point of the wire adapter. */
-public final class Main {
+public final class SimulateCommand {
 
-  private Main() {}
+  private SimulateCommand() {}
 
   /** Answers events until the input ends; the exit status is then 0, and 1 for malformed input. */
   public static int run(InputStream in, PrintStream out, PrintStream err) throws IOException {
     try {
-      new Link(in, out).run();
+      new SimulatorAdapter(in, out).run();
       return 0;
-    } catch (WireException e) {
+    } catch (MalformedInputException e) {
       err.println(e.getMessage());
       return 1;
     }
--- a/src/main/java/loadbalancer/drill/Link.java
+++ b/src/main/java/loadbalancer/drill/SimulatorAdapter.java
@@ -1,10 +1,5 @@
 package loadbalancer.drill;
 
-import loadbalancer.Balancer;
-import loadbalancer.Logic;
-import loadbalancer.wire.Fields;
-import loadbalancer.wire.SettingsDecoder;
-import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -17,16 +12,23 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import loadbalancer.DecisionEngine;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.LoadBalancingEngine;
+import loadbalancer.wire.JsonFields;
+import loadbalancer.wire.MalformedInputException;
+import loadbalancer.wire.SettingsDecoder;
 
 /** The conversation: a batch of events a line in, a line of actions out; one module instance for each balancer. */
-final class Link {
+final class SimulatorAdapter {
 
   private final JsonFactory json = new JsonFactory();
   private final BufferedReader in;
   private final OutputStream out;
-  private final Map<Long, Balancer> instances = new HashMap<>();
+  private final Map<Long, DecisionEngine> instances = new HashMap<>();
 
-  Link(InputStream in, OutputStream out) {
+  SimulatorAdapter(InputStream in, OutputStream out) {
     this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
     this.out = out;
   }
@@ -39,11 +41,11 @@
       line++;
       reply.reset();
       try (JsonGenerator generator = json.createGenerator(reply)) {
-        answer(Fields.parse(json, "batch", text), generator);
+        answer(JsonFields.parse(json, "batch", text), generator);
       } catch (JsonProcessingException e) {
-        throw new WireException("line " + line + ": not JSON: " + e.getOriginalMessage());
-      } catch (WireException | IllegalArgumentException e) {
-        throw new WireException("line " + line + ": " + e.getMessage());
+        throw new MalformedInputException("line " + line + ": not JSON: " + e.getOriginalMessage());
+      } catch (MalformedInputException | IllegalArgumentException e) {
+        throw new MalformedInputException("line " + line + ": " + e.getMessage());
       }
       reply.write('\n');
       reply.writeTo(out);
@@ -51,16 +53,16 @@
     }
   }
 
-  private void answer(Fields batch, JsonGenerator generator) throws IOException {
+  private void answer(JsonFields batch, JsonGenerator generator) throws IOException {
     long now = batch.integer("clock-ns");
     generator.writeStartObject();
     generator.writeArrayFieldStart("groups");
-    for (Fields group : batch.objects("groups")) {
+    for (JsonFields group : batch.objects("groups")) {
       long id = group.integer("balancer");
       generator.writeStartObject();
       generator.writeNumberField("balancer", id);
       generator.writeArrayFieldStart("actions");
-      for (Fields message : group.objects("msgs")) {
+      for (JsonFields message : group.objects("msgs")) {
         handle(now, id, message, generator);
       }
       generator.writeEndArray();
@@ -70,38 +72,38 @@
     generator.writeEndObject();
   }
 
-  private void handle(long now, long id, Fields message, JsonGenerator generator) throws IOException {
+  private void handle(long now, long id, JsonFields message, JsonGenerator generator) throws IOException {
     if (message.values().size() != 1) {
-      throw new WireException("field " + message.path() + ": expected one event, got " + message.values().size());
+      throw new MalformedInputException("field " + message.path() + ": expected one event, got " + message.values().size());
     }
     String name = (String) message.values().keySet().iterator().next();
-    Fields f = Fields.object(message.path() + "." + name, message.values().get(name));
+    JsonFields f = JsonFields.object(message.path() + "." + name, message.values().get(name));
     if (name.equals("Provision")) {
       if (!f.has("boot-info")) {
-        throw new WireException("field " + f.path() + ".boot-info: expected an object, got nothing");
+        throw new MalformedInputException("field " + f.path() + ".boot-info: expected an object, got nothing");
       }
-      instances.put(id, new Logic(SettingsDecoder.settings(f.nested("boot-info")), f.integer("seed")));
+      instances.put(id, new LoadBalancingEngine(SettingsDecoder.settings(f.nested("boot-info")), f.integer("seed")));
       return;
     }
-    Balancer instance = instances.get(id);
+    DecisionEngine instance = instances.get(id);
     if (instance == null) {
-      throw new WireException("field " + f.path() + ": balancer " + id + " was never provisioned");
+      throw new MalformedInputException("field " + f.path() + ": balancer " + id + " was never provisioned");
     }
     if (name.equals("Kill")) {
       instances.remove(id);
       return;
     }
-    Balancer.Event event = Decoder.event(name, f);
+    Event event = EventDecoder.event(name, f);
     try {
       instance.handle(now, event, action -> write(generator, action));
     } catch (RuntimeException e) {
-      Encoder.writeFault(generator, e);
+      ActionEncoder.writeFault(generator, e);
     }
   }
 
-  private static void write(JsonGenerator generator, Balancer.Action action) {
+  private static void write(JsonGenerator generator, Action action) {
     try {
-      Encoder.write(generator, action);
+      ActionEncoder.write(generator, action);
     } catch (IOException e) {
       throw new java.io.UncheckedIOException(e);
     }
--- a/src/main/java/loadbalancer/serve/Config.java
+++ b/src/main/java/loadbalancer/serve/BalancerConfig.java
@@ -1,9 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.Settings;
-import loadbalancer.wire.Fields;
-import loadbalancer.wire.SettingsDecoder;
-import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.util.NetUtil;
@@ -15,6 +11,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.wire.JsonFields;
+import loadbalancer.wire.MalformedInputException;
+import loadbalancer.wire.SettingsDecoder;
 
 /**
  * What a balancer is told at its start.
@@ -24,8 +24,8 @@
  * @param idleNanos after this an upstream may close a connection that stands idle
  * @param loadReports whether upstreams report their load
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
-    InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, ServerList known,
+record BalancerConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
+    InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, EndpointList known,
     Settings settings, long idleNanos, boolean loadReports) {
 
   private static final int SOCKETS = 1024;
@@ -36,16 +36,16 @@
    * Reads the file that the environment names. The file comes first, the environment states only what it lacks: the file
    * may have been replaced since the program was started, its environment never is.
    */
-  static Config read(Map<String, String> environment) throws IOException {
+  static BalancerConfig read(Map<String, String> environment) throws IOException {
     String path = environment.get("ROUTER_CONFIG");
     if (path == null) {
-      throw new WireException("ROUTER_CONFIG is not set");
+      throw new MalformedInputException("ROUTER_CONFIG is not set");
     }
     return parse(Files.readString(Path.of(path)), environment);
   }
 
-  static Config parse(String text, Map<String, String> environment) throws IOException {
-    Fields f = Fields.parse(new JsonFactory(), "config", text);
+  static BalancerConfig parse(String text, Map<String, String> environment) throws IOException {
+    JsonFields f = JsonFields.parse(new JsonFactory(), "config", text);
     List<InetSocketAddress> peers = new ArrayList<>();
     if (f.has("peers")) {
       for (String peer : f.texts("peers")) {
@@ -53,10 +53,10 @@
       }
     }
     if (!f.has("settings")) {
-      throw new WireException("field config.settings: expected an object, got nothing");
+      throw new MalformedInputException("field config.settings: expected an object, got nothing");
     }
-    Fields settings = f.nested("settings");
-    return new Config(
+    JsonFields settings = f.nested("settings");
+    return new BalancerConfig(
         text(f, "name", environment.get("ROUTER_NAME")),
         address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
         address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
@@ -64,18 +64,18 @@
         f.nested("limits").integer("memory_mb", MEMORY_MB) << 20,
         f.has("peer_listen") ? address("peer_listen", f.text("peer_listen")) : null, peers,
         f.has("peers_all") ? address("peers_all", f.text("peers_all")) : null,
-        f.has("known") ? ServerList.parse(f.nested("known")) : ServerList.NONE,
+        f.has("known") ? EndpointList.parse(f.nested("known")) : EndpointList.NONE,
         SettingsDecoder.settings(settings), settings.nested("limits").integer("conn-idle-ns", IDLE_NANOS),
         !settings.nested("report").text("how", "none").equals("none"));
   }
 
-  private static String text(Fields f, String name, String otherwise) {
+  private static String text(JsonFields f, String name, String otherwise) {
     return f.has(name) || otherwise == null ? f.text(name) : otherwise;
   }
 
   /** What a file that can't be used lacks, in one line. */
   static String complaint(Exception e) {
-    String what = e instanceof WireException || e instanceof IllegalArgumentException ? e.getMessage()
+    String what = e instanceof MalformedInputException || e instanceof IllegalArgumentException ? e.getMessage()
         : e instanceof JsonProcessingException j ? "configuration: not JSON: " + j.getOriginalMessage() : e.toString();
     return what.lines().findFirst().orElse("");
   }
@@ -84,7 +84,7 @@
     try {
       return Long.parseUnsignedLong(hex, 16);
     } catch (NumberFormatException e) {
-      throw new WireException("field config.seed: expected up to 16 hex digits, got \"" + hex + "\"");
+      throw new MalformedInputException("field config.seed: expected up to 16 hex digits, got \"" + hex + "\"");
     }
   }
 
@@ -99,6 +99,6 @@
     } catch (IOException | IllegalArgumentException e) {
       // Worded below, like an address without a port.
     }
-    throw new WireException("field " + name + ": expected an address and a port, got \"" + text + "\"");
+    throw new MalformedInputException("field " + name + ": expected an address and a port, got \"" + text + "\"");
   }
 }
--- a/src/main/java/loadbalancer/serve/Clients.java
+++ b/src/main/java/loadbalancer/serve/ClientConnections.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The clients' connections by what they are doing and since when; says which go when time or descriptors run out. */
-final class Clients {
+final class ClientConnections {
 
   /** What a connection does; in the order in which they are shed, and one that is served never is. */
   enum State { LEAVING, READING, IDLE, SERVED }
@@ -37,7 +37,7 @@
   /** The time of the last move comes first in each, so that the longest in a state is at its head. */
   private final Map<State, Map<Client, Long>> since = new EnumMap<>(State.class);
 
-  Clients() {
+  ClientConnections() {
     for (State state : State.values()) {
       since.put(state, new LinkedHashMap<>());
     }
--- a/src/main/java/loadbalancer/serve/UpstreamPool.java
+++ b/src/main/java/loadbalancer/serve/ConnectionPool.java
@@ -1,6 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.Status;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -39,11 +38,12 @@
 import java.util.function.LongPredicate;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import loadbalancer.DecisionEngine.AttemptStatus;
 
 /** Connections to upstreams and the calls on them: one call a connection, one outcome a call, nothing sent again. */
-final class UpstreamPool {
+final class ConnectionPool {
 
-  private static final Logger LOG = Logger.getLogger(UpstreamPool.class.getName());
+  private static final Logger LOG = Logger.getLogger(ConnectionPool.class.getName());
 
   /** Header of an upstream that turned a request away unseen. */
   private static final String NEVER_RAN = "X-Never-Ran";
@@ -66,17 +66,17 @@
   private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
   private final Bootstrap bootstrap;
-  private final Sockets sockets;
+  private final DescriptorBudget sockets;
   private final long idleNanos;
   private final LongPredicate ready;
   /** Idle connections of an upstream, the one used last in front. */
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
-  private final Set<Call> connecting = new HashSet<>();
-  private final Reuse reuse = new Reuse();
+  private final Set<UpstreamCall> connecting = new HashSet<>();
+  private final IdleReusePolicy reuse = new IdleReusePolicy();
   private long restNanos = REST_NANOS;
 
   /** {@code ready} tells of an upstream whether anything new may go to it. */
-  UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
+  ConnectionPool(Bootstrap bootstrap, DescriptorBudget sockets, long connectTimeoutNanos, long upstreamIdleNanos,
       LongPredicate ready) {
     this.sockets = sockets;
     this.ready = ready;
@@ -87,7 +87,7 @@
           @Override
           protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
-            channel.pipeline().addLast(connection.arrivals(), new HttpRequestEncoder(), new AnswerDecoder(), new Framed(),
+            channel.pipeline().addLast(connection.arrivals(), new HttpRequestEncoder(), new ResponseDecoder(), new Framed(),
                 new AnswerReader(), connection);
           }
         });
@@ -96,14 +96,14 @@
   }
 
   /** Starts a call; it takes over the request. The time-out covers connecting. */
-  void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
+  void start(UpstreamCall call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
     if (!call.isWanted()) {
       request.release();
-      call.end(Status.NOT_SENT, null);
+      call.end(AttemptStatus.NOT_SENT, null);
       return;
     }
     call.timeout = bootstrap.config().group().next()
-        .schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), timeoutNanos, TimeUnit.NANOSECONDS);
+        .schedule(() -> abandon(call, AttemptStatus.CONNECT_FAILED, AttemptStatus.TIMEOUT), timeoutNanos, TimeUnit.NANOSECONDS);
     Connection reused = reuse(call.upstream, address);
     if (reused != null) {
       reused.write(call, request);
@@ -111,14 +111,14 @@
     }
     if (!sockets.hasRoom() && !closeOldest()) {
       request.release();
-      call.end(Status.CONNECT_FAILED, null);
+      call.end(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
     ChannelFuture connect = bootstrap.connect(address);
     if (connect.isDone() && !connect.isSuccess()) {
       // No socket could be made at all; such a failure would be announced on a thread that is not ours.
       request.release();
-      call.end(Status.CONNECT_FAILED, null);
+      call.end(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
     connecting.add(call);
@@ -129,11 +129,11 @@
       // Guards against a request written although it was withdrawn while connecting: such a call is done.
       if (call.isDone() || !f.isSuccess()) {
         request.release();
-        call.end(Status.CONNECT_FAILED, null);
+        call.end(AttemptStatus.CONNECT_FAILED, null);
         connect.channel().close();
       } else if (!call.isWanted()) {
         request.release();
-        call.end(Status.NOT_SENT, null);
+        call.end(AttemptStatus.NOT_SENT, null);
         connect.channel().close();
       } else {
         connect.channel().pipeline().get(Connection.class).write(call, request);
@@ -142,8 +142,8 @@
   }
 
   /** Stops waiting for a call. */
-  void cancel(Call call) {
-    abandon(call, Status.NOT_SENT, Status.CANCELLED);
+  void cancel(UpstreamCall call) {
+    abandon(call, AttemptStatus.NOT_SENT, AttemptStatus.CANCELLED);
   }
 
   /** Upstreams drain or are gone: no connection to them is used again, and what has not been sent stays unsent. */
@@ -175,7 +175,7 @@
   }
 
   /** Ends a call whose answer may still come; its connection can't be used again. */
-  private void abandon(Call call, Status unwritten, Status written) {
+  private void abandon(UpstreamCall call, AttemptStatus unwritten, AttemptStatus written) {
     if (!call.isDone()) {
       Channel channel = call.channel;
       call.end(call.written ? written : unwritten, null);
@@ -223,7 +223,7 @@
     long idleSince;
     /** How long it had stood idle before the call on it; -1 on a new one. */
     long stoodIdle = -1;
-    private Call call;
+    private UpstreamCall call;
     /** Bytes of the answer that have been looked at. */
     private int begun;
     private int informational;
@@ -289,12 +289,12 @@
 
     /** The connection is of no use any more; the call on it may have run. */
     private void spoilt() {
-      Call spoilt = call;
+      UpstreamCall spoilt = call;
       call = null;
       nothingBegun();
       channel.close();
       if (spoilt != null) {
-        spoilt.end(Status.RESET, null);
+        spoilt.end(AttemptStatus.RESET, null);
       }
     }
 
@@ -306,10 +306,10 @@
     }
 
     boolean isQuiet() {
-      return !(channel instanceof UpstreamSocket socket) || socket.isQuiet();
+      return !(channel instanceof UpstreamChannel socket) || socket.isQuiet();
     }
 
-    void write(Call next, FullHttpRequest request) {
+    void write(UpstreamCall next, FullHttpRequest request) {
       call = next;
       upstream = next.upstream;
       next.channel = channel;
@@ -318,7 +318,7 @@
           next.written = true;
         } else {
           channel.close();
-          next.end(Status.CONNECT_FAILED, null);
+          next.end(AttemptStatus.CONNECT_FAILED, null);
         }
       });
     }
@@ -336,16 +336,16 @@
         }
         return;
       }
-      Call answered = call;
+      UpstreamCall answered = call;
       call = null;
       usedAgain(false);
       informational = 0;
-      Status status = status(response);
-      if (status == Status.SERVED && !answered.written) {
+      AttemptStatus status = status(response);
+      if (status == AttemptStatus.SUCCESS && !answered.written) {
         // Guards the client: what came before its request had left is another's.
-        status = Status.RESET;
+        status = AttemptStatus.RESET;
       }
-      if (status != Status.RESET && answered.written && !answered.isDone() && HttpUtil.isKeepAlive(response)
+      if (status != AttemptStatus.RESET && answered.written && !answered.isDone() && HttpUtil.isKeepAlive(response)
           && ready.test(upstream)) {
         idleSince = System.nanoTime();
         idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).push(this);
@@ -366,7 +366,7 @@
         connections.remove(this);
       }
       if (call != null) {
-        call.end(call.written ? Status.RESET : Status.CONNECT_FAILED, null);
+        call.end(call.written ? AttemptStatus.RESET : AttemptStatus.CONNECT_FAILED, null);
         call = null;
       }
     }
@@ -383,7 +383,7 @@
   private static final class AnswerReader extends HttpObjectAggregator {
 
     AnswerReader() {
-      super(Frontend.MOST_BODY);
+      super(DownstreamListener.MOST_BODY);
     }
 
     @Override
@@ -411,16 +411,16 @@
   }
 
   /** What an answer means. */
-  private static Status status(FullHttpResponse response) {
+  private static AttemptStatus status(FullHttpResponse response) {
     HttpResponseStatus status = response.status();
     if (!response.decoderResult().isSuccess()) {
-      return Status.RESET;
+      return AttemptStatus.RESET;
     }
     if (status.equals(HttpResponseStatus.OK)) {
-      return Status.SERVED;
+      return AttemptStatus.SUCCESS;
     }
     boolean refused = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
         || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
-    return refused && "1".equals(response.headers().get(NEVER_RAN)) ? Status.FULL : Status.ERROR;
+    return refused && "1".equals(response.headers().get(NEVER_RAN)) ? AttemptStatus.REJECTED : AttemptStatus.ERROR;
   }
 }
--- a/src/main/java/loadbalancer/serve/Sockets.java
+++ b/src/main/java/loadbalancer/serve/DescriptorBudget.java
@@ -4,7 +4,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 
 /** Counts the open sockets against what the process may hold. */
-final class Sockets {
+final class DescriptorBudget {
 
   /** Descriptors of the process itself: jar, standard streams, selector, listeners, discovery before and after a move. */
   private static final int OWN = 24;
@@ -20,7 +20,7 @@
   private final int most;
   private int open;
 
-  Sockets(int limit) {
+  DescriptorBudget(int limit) {
     this.limit = limit;
     most = limit - OWN - SPARE;
   }
--- a/src/main/java/loadbalancer/serve/Discovery.java
+++ b/src/main/java/loadbalancer/serve/DiscoveryClient.java
@@ -1,8 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.wire.Fields;
-import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -31,11 +28,14 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.wire.JsonFields;
+import loadbalancer.wire.MalformedInputException;
 
 /** Asks discovery for the list of upstreams, once or as a watch on its changes, and says when that fails. */
-final class Discovery implements Node.ListSource {
+final class DiscoveryClient implements RequestDispatcher.ListSource {
 
-  private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
+  private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
 
   private static final String LIST = "/v1/servers";
   /**
@@ -61,7 +61,7 @@
 
   private final Bootstrap bootstrap;
   private final LongSupplier revision;
-  private final BiConsumer<ListKind, ServerList> news;
+  private final BiConsumer<UpdateKind, EndpointList> news;
   private final boolean pushed;
   private final JsonFactory json = new JsonFactory();
   private InetSocketAddress address;
@@ -73,8 +73,8 @@
   private int givenUp;
 
   /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
-  Discovery(Bootstrap bootstrap, InetSocketAddress address, boolean pushed, LongSupplier revision,
-      BiConsumer<ListKind, ServerList> news) {
+  DiscoveryClient(Bootstrap bootstrap, InetSocketAddress address, boolean pushed, LongSupplier revision,
+      BiConsumer<UpdateKind, EndpointList> news) {
     this.bootstrap = bootstrap;
     this.address = address;
     this.pushed = pushed;
@@ -184,7 +184,7 @@
           LOG.warning("discovery fails: " + why);
           failing = true;
         }
-        news.accept(ListKind.FAILED, ServerList.NONE);
+        news.accept(UpdateKind.FAILED, EndpointList.NONE);
       }
     }
 
@@ -235,10 +235,10 @@
         return;
       }
       begunAt = 0;
-      ServerList list;
+      EndpointList list;
       try {
-        list = ServerList.parse(Fields.parse(json, "list", text));
-      } catch (IOException | WireException e) {
+        list = EndpointList.parse(JsonFields.parse(json, "list", text));
+      } catch (IOException | MalformedInputException e) {
         fail(e.getMessage());
         return;
       }
@@ -248,7 +248,7 @@
       }
       told = true;
       givenUp = 0;
-      news.accept(list.complete() ? ListKind.FULL : ListKind.DELTA, list);
+      news.accept(list.complete() ? UpdateKind.FULL : UpdateKind.DELTA, list);
     }
 
     @Override
--- a/src/main/java/loadbalancer/serve/Frontend.java
+++ b/src/main/java/loadbalancer/serve/DownstreamListener.java
@@ -1,10 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.Effect;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.Tenant;
-import loadbalancer.serve.Clients.State;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -49,11 +44,16 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.Tenant;
+import loadbalancer.serve.ClientConnections.State;
 
 /** The clients' side: takes requests in, hands them to the node, and writes the final answers. */
-final class Frontend {
+final class DownstreamListener {
 
-  private static final Logger LOG = Logger.getLogger(Frontend.class.getName());
+  private static final Logger LOG = Logger.getLogger(DownstreamListener.class.getName());
 
   static final String EXPIRES = "X-Expires-In-Ms";
   static final String HEALTH = "/healthz";
@@ -80,15 +80,15 @@
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
   private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  private final Node node;
-  private final Clock clock;
-  private final Pulse pulse;
-  private final Sockets sockets;
-  private final UpstreamPool pool;
+  private final RequestDispatcher node;
+  private final MonotonicClock clock;
+  private final EventLoopLagMonitor pulse;
+  private final DescriptorBudget sockets;
+  private final ConnectionPool pool;
   private final Map<String, RequestClass> classes;
   private final Set<String> tenants;
-  private final Clients clients = new Clients();
-  private final RequestReader.Budget bodies;
+  private final ClientConnections clients = new ClientConnections();
+  private final RequestAggregator.Budget bodies;
   private Channel listener;
   private long accepted;
   private boolean ready;
@@ -96,7 +96,7 @@
   private boolean closing;
 
   /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
-  Frontend(Node node, Clock clock, Pulse pulse, Sockets sockets, UpstreamPool pool, Settings settings, long mostHeld) {
+  DownstreamListener(RequestDispatcher node, MonotonicClock clock, EventLoopLagMonitor pulse, DescriptorBudget sockets, ConnectionPool pool, Settings settings, long mostHeld) {
     this.node = node;
     this.clock = clock;
     this.pulse = pulse;
@@ -104,7 +104,7 @@
     this.pool = pool;
     this.classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
     this.tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
-    this.bodies = new RequestReader.Budget(mostHeld);
+    this.bodies = new RequestAggregator.Budget(mostHeld);
   }
 
   ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
@@ -139,7 +139,7 @@
     long before;
     do {
       before = accepted;
-      Sockets.look(listener);
+      DescriptorBudget.look(listener);
     } while (accepted > before);
     listener.close();
   }
@@ -174,10 +174,10 @@
 
   /** One client's connection: a request at a time, those that come early wait for their turn. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest>
-      implements Clients.Client, Exchange.Reply {
+      implements ClientConnections.Client, ProxiedRequest.Reply {
 
     private final Channel channel;
-    private final RequestReader reader;
+    private final RequestAggregator reader;
     private final ArrayDeque<FullHttpRequest> early = new ArrayDeque<>(1);
     private boolean busy;
     private boolean keepAlive;
@@ -187,13 +187,13 @@
     private boolean begun;
     /** Bytes of the body of the request that is served. */
     private int size;
-    private Exchange exchange;
+    private ProxiedRequest exchange;
     /** The client has ended its sending. */
     private boolean left;
 
     Connection(Channel channel) {
       this.channel = channel;
-      reader = new RequestReader(bodies, () -> busy);
+      reader = new RequestAggregator(bodies, () -> busy);
     }
 
     /** Sees bytes before they are decoded: from the first one on a request has to come in whole in time. */
@@ -310,7 +310,7 @@
 
     @Override
     public void look() {
-      Sockets.look(channel);
+      DescriptorBudget.look(channel);
     }
 
     @Override
@@ -357,7 +357,7 @@
         answer(HttpResponseStatus.BAD_REQUEST, TENANT + " is too long");
       } else if (expires < 0) {
         answer(HttpResponseStatus.BAD_REQUEST, EXPIRES + " is not a number of milliseconds");
-      } else if (type.effect() == Effect.KEYED && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
+      } else if (type.idempotence() == Idempotence.IDEMPOTENCY_KEY && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
         // Guards a keyed class: without the key no upstream could drop a repeat.
         answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
       } else if (node.isOpen(id)) {
@@ -370,7 +370,7 @@
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
         long unread = pulse.behindNanos();
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
-        exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
+        exchange = new ProxiedRequest(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
             "1".equals(headers.get(RETRY)), clock.now() - unread + wait - WAY_NANOS, request.retain(), this);
         exchange.unreadNanos = unread;
         node.take(exchange);
--- a/src/main/java/loadbalancer/serve/Fleet.java
+++ b/src/main/java/loadbalancer/serve/EndpointDirectory.java
@@ -1,27 +1,27 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Listed;
-import loadbalancer.Balancer.State;
-import loadbalancer.serve.ServerList.Server;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.serve.EndpointList.Member;
 
 /** The upstreams as discovery last named them: the module's numbers, addresses and states. */
-final class Fleet {
+final class EndpointDirectory {
 
-  private final Clock clock;
+  private final MonotonicClock clock;
   private final Map<String, Long> numbers = new HashMap<>();
-  private final Map<Long, Server> servers = new LinkedHashMap<>();
+  private final Map<Long, Member> servers = new LinkedHashMap<>();
   private final List<Long> restarted = new ArrayList<>();
   private long revision;
 
-  Fleet(Clock clock) {
+  EndpointDirectory(MonotonicClock clock) {
     this.clock = clock;
   }
 
@@ -32,45 +32,45 @@
 
   /** Where an upstream listens; null for one that is not on the list. */
   SocketAddress address(long upstream) {
-    Server server = servers.get(upstream);
+    Member server = servers.get(upstream);
     return server == null ? null : server.address();
   }
 
   /** Its name on the list; its number in hex for one that has left. */
   String name(long upstream) {
-    Server server = servers.get(upstream);
+    Member server = servers.get(upstream);
     return server == null ? Long.toHexString(upstream) : server.id();
   }
 
   boolean isReady(long upstream) {
-    Server server = servers.get(upstream);
-    return server != null && server.state() == State.READY;
+    Member server = servers.get(upstream);
+    return server != null && server.state() == EndpointState.READY;
   }
 
   boolean hasReady() {
-    return servers.values().stream().anyMatch(s -> s.state() == State.READY);
+    return servers.values().stream().anyMatch(s -> s.state() == EndpointState.READY);
   }
 
   /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
-  ListNews take(ListKind kind, ServerList list) {
+  EndpointListUpdate take(UpdateKind kind, EndpointList list) {
     restarted.clear();
     if (!isNews(kind, list)) {
-      return new ListNews(ListKind.DELTA, List.of());
+      return new EndpointListUpdate(UpdateKind.DELTA, List.of());
     }
     revision = list.revision();
-    Map<Long, Server> before = new HashMap<>(servers);
-    if (kind != ListKind.DELTA) {
+    Map<Long, Member> before = new HashMap<>(servers);
+    if (kind != UpdateKind.DELTA) {
       servers.clear();
     }
-    List<Listed> entries = new ArrayList<>();
-    for (Server server : list.members()) {
+    List<Endpoint> entries = new ArrayList<>();
+    for (Member server : list.members()) {
       long number = numbers.computeIfAbsent(server.id(), this::number);
       entries.add(listed(number, server));
-      Server was = before.get(number);
+      Member was = before.get(number);
       if (was != null && (was.upSinceMillis() != server.upSinceMillis() || !was.address().equals(server.address()))) {
         restarted.add(number);
       }
-      if (server.state() == State.GONE) {
+      if (server.state() == EndpointState.GONE) {
         servers.remove(number);
       } else {
         servers.put(number, server);
@@ -78,7 +78,7 @@
     }
     // A name that left gets its number again should it come back; nothing is kept of it meanwhile.
     numbers.values().retainAll(servers.keySet());
-    return new ListNews(kind, entries);
+    return new EndpointListUpdate(kind, entries);
   }
 
   /** Upstreams that, by the list last taken in, are another process than before. */
@@ -90,17 +90,17 @@
    * Guards against a discovery that lags or has just lost its own list: an older version would bring back what has gone,
    * and an empty list would take the service away. Version 0 is that of a list that names none.
    */
-  private boolean isNews(ListKind kind, ServerList list) {
+  private boolean isNews(UpdateKind kind, EndpointList list) {
     boolean older = list.revision() > 0 && list.revision() < revision;
-    boolean empties = kind != ListKind.DELTA && list.members().isEmpty() && !servers.isEmpty();
+    boolean empties = kind != UpdateKind.DELTA && list.members().isEmpty() && !servers.isEmpty();
     return !older && !empties;
   }
 
   /** The list as it is held, for a module that starts anew. */
-  ListNews held() {
-    List<Listed> entries = new ArrayList<>();
+  EndpointListUpdate held() {
+    List<Endpoint> entries = new ArrayList<>();
     servers.forEach((number, server) -> entries.add(listed(number, server)));
-    return new ListNews(ListKind.CACHED, entries);
+    return new EndpointListUpdate(UpdateKind.CACHED, entries);
   }
 
   /** FNV-1a of the name: every balancer, and each after a restart, has to place the same keys alike. */
@@ -115,7 +115,7 @@
     return hash;
   }
 
-  private Listed listed(long number, Server s) {
-    return new Listed(number, s.zone(), s.cell(), s.state(), clock.atUnixMillis(s.upSinceMillis()), s.size());
+  private Endpoint listed(long number, Member s) {
+    return new Endpoint(number, s.zone(), s.cell(), s.state(), clock.atUnixMillis(s.upSinceMillis()), s.size());
   }
 }
--- a/src/main/java/loadbalancer/serve/Pulse.java
+++ b/src/main/java/loadbalancer/serve/EventLoopLagMonitor.java
@@ -7,18 +7,18 @@
  * How long what is read now may have lain unread because the event loop was held up. Guards the deadlines: a client's time runs
  * from its request's last byte, whenever that is read, and an answer half a second late is lost.
  */
-final class Pulse {
+final class EventLoopLagMonitor {
 
   private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final EventLoop loop;
-  private final Clock clock;
+  private final MonotonicClock clock;
   private long beatAt;
   private boolean late;
 
   /** The loop beats from now on: it has looked at its sockets shortly before each beat. */
-  Pulse(EventLoop loop, Clock clock) {
+  EventLoopLagMonitor(EventLoop loop, MonotonicClock clock) {
     this.loop = loop;
     this.clock = clock;
     beatAt = clock.now();
--- a/src/main/java/loadbalancer/serve/Peers.java
+++ b/src/main/java/loadbalancer/serve/GossipChannel.java
@@ -16,23 +16,23 @@
 import java.util.logging.Logger;
 
 /** Datagrams from and to the other balancers: late, lost or sound, never answered for. */
-final class Peers implements Node.PeerSender {
+final class GossipChannel implements RequestDispatcher.PeerSender {
 
-  private static final Logger LOG = Logger.getLogger(Peers.class.getName());
+  private static final Logger LOG = Logger.getLogger(GossipChannel.class.getName());
 
   private final int me;
   private final List<InetSocketAddress> peers;
   private final InetSocketAddress all;
   private Channel channel;
 
-  Peers(int me, List<InetSocketAddress> peers, InetSocketAddress all) {
+  GossipChannel(int me, List<InetSocketAddress> peers, InetSocketAddress all) {
     this.me = me;
     this.peers = peers;
     this.all = all;
   }
 
   /** Binds, and hands what comes from a known peer to the node. */
-  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Node node) {
+  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, RequestDispatcher node) {
     ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
         .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
           @Override
--- a/src/main/java/loadbalancer/serve/Reuse.java
+++ b/src/main/java/loadbalancer/serve/IdleReusePolicy.java
@@ -8,7 +8,7 @@
  * and can't always be sent again. It could do harm where connections break for another reason than their age: then new ones
  * are opened for nothing, until what was seen is forgotten.
  */
-final class Reuse {
+final class IdleReusePolicy {
 
   /** Ages are told apart by their doublings from this on. */
   private static final long LEAST_NANOS = TimeUnit.MILLISECONDS.toNanos(16);
--- a/src/main/java/loadbalancer/serve/Clock.java
+++ b/src/main/java/loadbalancer/serve/MonotonicClock.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The one clock of a balancer: monotonic, with an origin that leaves room for upstreams older than the process. */
-final class Clock {
+final class MonotonicClock {
 
   /** An upstream up for longer counts as up for this long: no module asks for the difference. */
   private static final long ORIGIN = TimeUnit.DAYS.toNanos(1);
--- a/src/main/java/loadbalancer/serve/Exchange.java
+++ b/src/main/java/loadbalancer/serve/ProxiedRequest.java
@@ -1,8 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.Effect;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -17,9 +14,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.RequestClass;
 
 /** A client's request in hand, from when it is taken until it is answered and its last attempt has ended. */
-final class Exchange {
+final class ProxiedRequest {
 
   /** Headers that speak of one connection, not of the request. */
   private static final List<AsciiString> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
@@ -62,9 +62,9 @@
   static final class Attempt {
     final int number;
     final long sentAt;
-    Call call;
+    UpstreamCall call;
     /** How it ended and how long that took; no status while it is out. */
-    Status status;
+    AttemptStatus status;
     long latency;
 
     Attempt(int number, long sentAt) {
@@ -74,7 +74,7 @@
   }
 
   /** Takes over the request. */
-  Exchange(String traceId, RequestClass type, String tenant, String key, long hintNanos, boolean retry, long deadline,
+  ProxiedRequest(String traceId, RequestClass type, String tenant, String key, long hintNanos, boolean retry, long deadline,
       FullHttpRequest request, Reply reply) {
     this.traceId = traceId;
     this.type = type;
@@ -110,7 +110,7 @@
 
   /** Whether an answer may still come of what has been written, or has come. */
   boolean isSent() {
-    return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : a.status == Status.SERVED);
+    return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : a.status == AttemptStatus.SUCCESS);
   }
 
   boolean mayHaveRun() {
@@ -121,7 +121,7 @@
   long repeatBy() {
     long by = Long.MAX_VALUE;
     for (Attempt a : attempts) {
-      if (type.effect() == Effect.KEYED && (a.status == null || !a.status.provesNotRun())) {
+      if (type.idempotence() == Idempotence.IDEMPOTENCY_KEY && (a.status == null || !a.status.provesNotRun())) {
         by = Math.min(by, a.sentAt + type.dedupWindowNanos());
       }
     }
@@ -142,7 +142,7 @@
       }
     }
     HOP_BY_HOP.forEach(headers::remove);
-    headers.set(Frontend.EXPIRES, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
+    headers.set(DownstreamListener.EXPIRES, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
     if (request.content().isReadable()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
     }
--- a/src/main/java/loadbalancer/serve/Server.java
+++ b/src/main/java/loadbalancer/serve/ProxyServer.java
@@ -1,10 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer;
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Logic;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -23,11 +18,16 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
+import loadbalancer.DecisionEngine;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.LoadBalancingEngine;
 
 /** One balancer, from start to stop: wires the parts together on one event loop. */
-final class Server {
+final class ProxyServer {
 
-  private static final Logger LOG = Logger.getLogger(Server.class.getName());
+  private static final Logger LOG = Logger.getLogger(ProxyServer.class.getName());
 
   private static final int BACKLOG = 1024;
   /** The part of the memory, one in so many, that clients' bodies may take: half of what `run` gives to buffers. */
@@ -58,7 +58,7 @@
   private static final long FLUSH_MILLIS = 150;
   private static final long STOP_CHECK_MILLIS = 20;
 
-  private final Config config;
+  private final BalancerConfig config;
   private final EventLoopGroup group;
   private final EventLoop loop;
   private final AtomicBoolean stopBegun = new AtomicBoolean();
@@ -66,16 +66,16 @@
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
-  private Node node;
-  private Frontend frontend;
-  private Discovery discovery;
-  private Peers peers;
+  private RequestDispatcher node;
+  private DownstreamListener frontend;
+  private DiscoveryClient discovery;
+  private GossipChannel peers;
   private Channel listener;
   private boolean pushed;
   private int agentFailures;
   private long stopMillis;
 
-  private Server(Config config) {
+  private ProxyServer(BalancerConfig config) {
     this.config = config;
     group = new MultiThreadIoEventLoopGroup(1, loops());
     loop = group.next();
@@ -83,31 +83,31 @@
 
   /** What the event loop waits with. */
   static IoHandlerFactory loops() {
-    return PatientIoHandler.around(NioIoHandler.newFactory());
+    return RoundingIoHandler.around(NioIoHandler.newFactory());
   }
 
   /** Starts a balancer and returns once it listens. */
-  static Server start(Config config) {
-    Server server = prepare(config);
+  static ProxyServer start(BalancerConfig config) {
+    ProxyServer server = prepare(config);
     server.listen();
     return server;
   }
 
   /** All of a start but listening: until then nobody is owed anything. */
-  static Server prepare(Config config) {
-    return prepare(config, n -> new Logic(config.settings(), config.seed() + n), LIST_MILLIS);
+  static ProxyServer prepare(BalancerConfig config) {
+    return prepare(config, n -> new LoadBalancingEngine(config.settings(), config.seed() + n), LIST_MILLIS);
   }
 
   /**
    * The same around other decisions; {@code modules} makes the n-th module of this process. Waits so long for discovery's first
    * word: what it has told counts as told from the process's first moment, and the list that is known may be older.
    */
-  static Server prepare(Config config, LongFunction<Balancer> modules, long listMillis) {
-    Server server = new Server(config);
+  static ProxyServer prepare(BalancerConfig config, LongFunction<DecisionEngine> modules, long listMillis) {
+    ProxyServer server = new ProxyServer(config);
     try {
       server.loop.submit(() -> server.wire(modules)).syncUninterruptibly();
       long listedBy = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(listMillis);
-      Warmup.run(config.settings());
+      WarmUp.run(config.settings());
       if (!await(server.listed, listedBy - System.nanoTime())) {
         LOG.warning("discovery says nothing: the list that was known has to do");
       }
@@ -121,7 +121,7 @@
   /** Opens it to clients and to other balancers. */
   void listen() {
     try {
-      if (config.peerListen() != null && config.settings().limits().peers()) {
+      if (config.peerListen() != null && config.settings().limits().gossip()) {
         peers.listen(group, config.peerListen(), node).syncUninterruptibly();
       }
       listener = frontend.listen(new ServerBootstrap().group(group)
@@ -145,33 +145,33 @@
     return Math.max(ACCEPT_MILLIS, killMillis - STOP_EARLY_MILLIS);
   }
 
-  private void wire(LongFunction<Balancer> modules) {
+  private void wire(LongFunction<DecisionEngine> modules) {
     stopMillis = stopMillis(config.settings());
-    Clock clock = new Clock();
-    Fleet fleet = new Fleet(clock);
-    Sockets sockets = new Sockets(config.sockets());
-    Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
+    MonotonicClock clock = new MonotonicClock();
+    EndpointDirectory fleet = new EndpointDirectory(clock);
+    DescriptorBudget sockets = new DescriptorBudget(config.sockets());
+    Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamChannel::new)
         .option(ChannelOption.TCP_NODELAY, true);
-    UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
+    ConnectionPool pool = new ConnectionPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
         config.idleNanos(), fleet::isReady);
-    peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
-    pushed = !config.settings().listOnRequest();
-    discovery = new Discovery(
+    peers = new GossipChannel(config.settings().instanceIndex(), config.peers(), config.peersAll());
+    pushed = !config.settings().polledDiscovery();
+    discovery = new DiscoveryClient(
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
         config.discovery(), pushed, fleet::revision, this::news);
-    node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
-    frontend = new Frontend(node, clock, new Pulse(loop, clock), sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
-    node.news(ListKind.CACHED, config.known());
+    node = new RequestDispatcher(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
+    frontend = new DownstreamListener(node, clock, new EventLoopLagMonitor(loop, clock), sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
+    node.news(UpdateKind.CACHED, config.known());
     if (pushed) {
       discovery.watch(true);
     }
   }
 
-  private void news(ListKind kind, ServerList list) {
-    if (kind != ListKind.FAILED) {
+  private void news(UpdateKind kind, EndpointList list) {
+    if (kind != UpdateKind.FAILED) {
       listed.countDown();
     }
-    if (kind != ListKind.FAILED || !pushed) {
+    if (kind != UpdateKind.FAILED || !pushed) {
       agentFailures = 0;
       node.news(kind, list);
     } else {
@@ -187,7 +187,7 @@
 
   /** Where a configuration comes from. */
   interface Source {
-    Config read() throws IOException;
+    BalancerConfig read() throws IOException;
   }
 
   /**
@@ -200,11 +200,11 @@
       loop.execute(() -> discovery.move(to));
       LOG.info(() -> "configuration read again, discovery at " + to);
     } catch (IOException | RuntimeException e) {
-      LOG.warning("configuration not taken, the one before stays: " + Config.complaint(e));
+      LOG.warning("configuration not taken, the one before stays: " + BalancerConfig.complaint(e));
     }
   }
 
-  Frontend frontend() {
+  DownstreamListener frontend() {
     return frontend;
   }
 
--- a/src/main/java/loadbalancer/serve/RequestReader.java
+++ b/src/main/java/loadbalancer/serve/RequestAggregator.java
@@ -20,7 +20,7 @@
  * Puts the parts of a request together. It answers nothing by itself but {@code 100 Continue}: one that is too large comes
  * on as a request that failed, to be answered in its turn.
  */
-final class RequestReader extends HttpObjectAggregator {
+final class RequestAggregator extends HttpObjectAggregator {
 
   /** The bytes that all requests in hand may hold together. */
   static final class Budget {
@@ -37,8 +37,8 @@
   private long held;
 
   /** {@code busy} tells whether an earlier request on the connection is still to be answered. */
-  RequestReader(Budget budget, BooleanSupplier busy) {
-    super(Frontend.MOST_BODY);
+  RequestAggregator(Budget budget, BooleanSupplier busy) {
+    super(DownstreamListener.MOST_BODY);
     this.budget = budget;
     this.busy = busy;
   }
@@ -51,7 +51,7 @@
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, Frontend.API);
+    FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, DownstreamListener.API);
     failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
     context.fireChannelRead(failed);
   }
--- a/src/main/java/loadbalancer/serve/Node.java
+++ b/src/main/java/loadbalancer/serve/RequestDispatcher.java
@@ -1,29 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer;
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Cancel;
-import loadbalancer.Balancer.ClientGone;
-import loadbalancer.Balancer.CloseIdle;
-import loadbalancer.Balancer.Event;
-import loadbalancer.Balancer.Fail;
-import loadbalancer.Balancer.FetchList;
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.PeerMessage;
-import loadbalancer.Balancer.Probe;
-import loadbalancer.Balancer.ProbeResult;
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.SetTimer;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.Status;
-import loadbalancer.Balancer.TellPeer;
-import loadbalancer.Balancer.TimerFired;
-import loadbalancer.Balancer.Watch;
-import loadbalancer.serve.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -46,14 +22,38 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import loadbalancer.DecisionEngine;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.CancelAttempt;
+import loadbalancer.DecisionEngine.CheckHealth;
+import loadbalancer.DecisionEngine.ClientDisconnected;
+import loadbalancer.DecisionEngine.CloseIdleConnections;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.FetchEndpoints;
+import loadbalancer.DecisionEngine.GossipReceived;
+import loadbalancer.DecisionEngine.HealthCheckResult;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.SendGossip;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.TimerFired;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.serve.ProxiedRequest.Attempt;
 
 /**
  * Stands between the sockets and the decision module: words what happens on the first as the second's events, one at a
  * time, and carries out its actions in order. It decides nothing. All of it runs on one event loop.
  */
-final class Node {
+final class RequestDispatcher {
 
-  private static final Logger LOG = Logger.getLogger(Node.class.getName());
+  private static final Logger LOG = Logger.getLogger(RequestDispatcher.class.getName());
 
   /** A request without an answer gets one so long after the deadline that the module knows: a last guard. */
   private static final long GUARD_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
@@ -61,23 +61,23 @@
   private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
   private final EventLoop loop;
-  private final Clock clock;
+  private final MonotonicClock clock;
   private final Settings settings;
   private final boolean loadReports;
-  private final LongFunction<Balancer> modules;
-  private final Fleet fleet;
-  private final UpstreamPool pool;
+  private final LongFunction<DecisionEngine> modules;
+  private final EndpointDirectory fleet;
+  private final ConnectionPool pool;
   private final ListSource lists;
   private final PeerSender peers;
-  private final Trail trail;
-  private final Map<String, Exchange> exchanges = new HashMap<>();
+  private final RequestTrace trail;
+  private final Map<String, ProxiedRequest> exchanges = new HashMap<>();
   /** The clients' ids of the same. */
   private final Set<String> traceIds = new HashSet<>();
   /** What has happened and the module has not been told; an entry is worded when its turn comes. */
   private final ArrayDeque<Supplier<Event>> queue = new ArrayDeque<>();
   private boolean scheduled;
   private boolean ended;
-  private Balancer module;
+  private DecisionEngine module;
   private long generation;
   private long taken;
 
@@ -94,8 +94,8 @@
   }
 
   /** {@code modules} makes the n-th module of this process. */
-  Node(EventLoop loop, Clock clock, Settings settings, boolean loadReports, LongFunction<Balancer> modules, Fleet fleet,
-      UpstreamPool pool, ListSource lists, PeerSender peers) {
+  RequestDispatcher(EventLoop loop, MonotonicClock clock, Settings settings, boolean loadReports, LongFunction<DecisionEngine> modules, EndpointDirectory fleet,
+      ConnectionPool pool, ListSource lists, PeerSender peers) {
     this.loop = loop;
     this.clock = clock;
     this.settings = settings;
@@ -105,14 +105,14 @@
     this.pool = pool;
     this.lists = lists;
     this.peers = peers;
-    trail = new Trail(fleet::name);
+    trail = new RequestTrace(fleet::name);
     module = modules.apply(generation);
   }
 
   // ---- What happens --------------------------------------------------------------------------------------
 
   /** A client's request has come in whole. */
-  void take(Exchange x) {
+  void take(ProxiedRequest x) {
     x.id = "r" + taken++;
     x.takenAt = clock.now();
     if (ended) {
@@ -123,7 +123,7 @@
     traceIds.add(x.traceId);
     x.guard = loop.schedule(() -> overdue(x), x.deadline + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
     enqueue(() -> x.isEnded() ? null
-        : new Request(x.id, x.type.name(), x.tenant, x.key, x.deadline, x.hintNanos, x.retry));
+        : new RequestArrived(x.id, x.type.name(), x.tenant, x.key, x.deadline, x.hintNanos, x.retry));
   }
 
   /** Whether a request with this id of a client's is in hand, or an attempt of it is still out. */
@@ -132,34 +132,34 @@
   }
 
   /** The client has closed its connection. */
-  void clientGone(Exchange x) {
+  void clientGone(ProxiedRequest x) {
     x.abandon();
-    enqueue(() -> known(x) ? new ClientGone(x.id) : null);
+    enqueue(() -> known(x) ? new ClientDisconnected(x.id) : null);
   }
 
   /**
    * The client has ended its sending, and most likely gone: from here on nothing is started for it. What waits for an upstream, a
    * connection or a retry ends at once; what is out may still bring the answer, in case that it listens.
    */
-  void clientLeft(Exchange x) {
+  void clientLeft(ProxiedRequest x) {
     if (x.isEnded() || x.left) {
       return;
     }
     x.left = true;
     if (!x.isSent()) {
       refuse(x);
-      enqueue(() -> known(x) ? new ClientGone(x.id) : null);
+      enqueue(() -> known(x) ? new ClientDisconnected(x.id) : null);
       x.attempts.forEach(a -> pool.cancel(a.call));
     }
   }
 
   /** Of one that has not run the client is told so. */
-  private void refuse(Exchange x) {
+  private void refuse(ProxiedRequest x) {
     answer(x, x.mayHaveRun() ? HttpResponseStatus.INTERNAL_SERVER_ERROR : HttpResponseStatus.SERVICE_UNAVAILABLE, 0, null,
         Unpooled.EMPTY_BUFFER);
   }
 
-  private void overdue(Exchange x) {
+  private void overdue(ProxiedRequest x) {
     if (!x.isEnded()) {
       answer(x, HttpResponseStatus.GATEWAY_TIMEOUT, 0, null, Unpooled.EMPTY_BUFFER);
       clientGone(x);
@@ -167,12 +167,12 @@
   }
 
   /** Discovery has said something; with FAILED it has not, and the list is unused. */
-  void news(ListKind kind, ServerList list) {
-    if (kind == ListKind.FAILED) {
-      enqueue(() -> new ListNews(kind, List.of()));
+  void news(UpdateKind kind, EndpointList list) {
+    if (kind == UpdateKind.FAILED) {
+      enqueue(() -> new EndpointListUpdate(kind, List.of()));
       return;
     }
-    ListNews news = fleet.take(kind, list);
+    EndpointListUpdate news = fleet.take(kind, list);
     enqueue(() -> news);
     // After the news, so that the module knows why what was still connecting comes back unsent.
     pool.withdraw(upstream -> !fleet.isReady(upstream));
@@ -182,7 +182,7 @@
 
   /** Another balancer has sent a message. */
   void peerMessage(int from, byte[] data) {
-    enqueue(() -> new PeerMessage(from, data));
+    enqueue(() -> new GossipReceived(from, data));
   }
 
   /** Whether a request that came now could be served. */
@@ -203,7 +203,7 @@
 
   /** Answers all requests in hand, without a promise. */
   private void failAll() {
-    for (Exchange x : List.copyOf(exchanges.values())) {
+    for (ProxiedRequest x : List.copyOf(exchanges.values())) {
       if (!x.isEnded()) {
         answer(x, HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, null, Unpooled.EMPTY_BUFFER);
         clientGone(x);
@@ -236,9 +236,9 @@
         LOG.log(Level.SEVERE, "module failed at " + event.getClass().getSimpleName(), e);
         restart(event);
       }
-      if (event instanceof Outcome o) {
+      if (event instanceof AttemptEnded o) {
         forget(exchanges.get(o.id()));
-      } else if (event instanceof ClientGone g) {
+      } else if (event instanceof ClientDisconnected g) {
         forget(exchanges.get(g.id()));
       }
     }
@@ -246,13 +246,13 @@
 
   /** A module that threw is in an unknown state: what it held is answered, and a new one starts from the list. */
   private void restart(Event cause) {
-    if (cause instanceof ListNews news && news.kind() == ListKind.CACHED) {
+    if (cause instanceof EndpointListUpdate news && news.kind() == UpdateKind.CACHED) {
       LOG.severe("a module can't even start: the process ends");
       failAll();
       loop.execute(() -> Runtime.getRuntime().halt(1));
       return;
     }
-    for (Exchange x : List.copyOf(exchanges.values())) {
+    for (ProxiedRequest x : List.copyOf(exchanges.values())) {
       x.attempts.forEach(a -> pool.cancel(a.call));
     }
     failAll();
@@ -260,15 +260,15 @@
     traceIds.clear();
     queue.clear();
     module = modules.apply(++generation);
-    ListNews held = fleet.held();
+    EndpointListUpdate held = fleet.held();
     enqueue(() -> held);
   }
 
-  private boolean known(Exchange x) {
+  private boolean known(ProxiedRequest x) {
     return exchanges.get(x.id) == x;
   }
 
-  private void forget(Exchange x) {
+  private void forget(ProxiedRequest x) {
     if (x != null && x.isEnded() && x.outstanding == 0) {
       exchanges.remove(x.id);
       traceIds.remove(x.traceId);
@@ -278,40 +278,40 @@
   // ---- What the module asks for --------------------------------------------------------------------------
 
   private void perform(Action action) {
-    if (action instanceof Send a) {
-      send(exchange(a.id()), a);
-    } else if (action instanceof Cancel a) {
-      Exchange x = exchanges.get(a.id());
+    if (action instanceof StartAttempt a) {
+      send(exchange(a.requestId()), a);
+    } else if (action instanceof CancelAttempt a) {
+      ProxiedRequest x = exchanges.get(a.requestId());
       if (x != null) {
         pool.cancel(x.attempts.get(a.attempt()).call);
       }
-    } else if (action instanceof Refuse a) {
-      end(a.id(), HttpResponseStatus.TOO_MANY_REQUESTS, a.retryAfterNanos());
-    } else if (action instanceof Fail a) {
-      end(a.id(), HttpResponseStatus.BAD_GATEWAY, 0);
+    } else if (action instanceof RejectRequest a) {
+      end(a.requestId(), HttpResponseStatus.TOO_MANY_REQUESTS, a.retryAfterNanos());
+    } else if (action instanceof FailRequest a) {
+      end(a.requestId(), HttpResponseStatus.BAD_GATEWAY, 0);
     } else if (action instanceof SetTimer a) {
       long made = generation;
       loop.schedule(() -> {
         trail.timer(clock.now() - a.atNanos());
         enqueue(() -> made == generation ? new TimerFired(a.token()) : null);
       }, a.atNanos() - clock.now(), TimeUnit.NANOSECONDS);
-    } else if (action instanceof Watch a) {
-      lists.watch(a.on());
-    } else if (action instanceof FetchList) {
+    } else if (action instanceof WatchEndpoints a) {
+      lists.watch(a.enabled());
+    } else if (action instanceof FetchEndpoints) {
       lists.fetch();
-    } else if (action instanceof Probe a) {
-      probe(a.upstream());
-    } else if (action instanceof CloseIdle a) {
-      pool.closeIdle(a.upstream());
-    } else if (action instanceof TellPeer a) {
+    } else if (action instanceof CheckHealth a) {
+      probe(a.endpointId());
+    } else if (action instanceof CloseIdleConnections a) {
+      pool.closeIdle(a.endpointId());
+    } else if (action instanceof SendGossip a) {
       peers.send(a.to(), a.data());
-    } else if (action instanceof Balancer.Log a) {
+    } else if (action instanceof DecisionEngine.LogMessage a) {
       LOG.info(a.text());
     }
   }
 
-  private Exchange exchange(String id) {
-    Exchange x = exchanges.get(id);
+  private ProxiedRequest exchange(String id) {
+    ProxiedRequest x = exchanges.get(id);
     if (x == null) {
       throw new IllegalStateException("request " + id + " is over");
     }
@@ -319,33 +319,33 @@
   }
 
   private void end(String id, HttpResponseStatus status, long retryAfterNanos) {
-    Exchange x = exchanges.get(id);
+    ProxiedRequest x = exchanges.get(id);
     if (x != null && !x.isEnded()) {
       answer(x, status, retryAfterNanos, null, Unpooled.EMPTY_BUFFER);
     }
     forget(x);
   }
 
-  private void answer(Exchange x, HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
+  private void answer(ProxiedRequest x, HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
     x.answer(status, retryAfterNanos, type, content);
     trail.answered(x, status, clock.now());
   }
 
-  private void send(Exchange x, Send send) {
+  private void send(ProxiedRequest x, StartAttempt send) {
     long now = clock.now();
     Attempt attempt = new Attempt(x.attempts.size(), now);
     long repeatBy = x.repeatBy();
-    attempt.call = new Call(send.upstream(), () -> isWanted(x, send.upstream(), repeatBy),
+    attempt.call = new UpstreamCall(send.endpointId(), () -> isWanted(x, send.endpointId(), repeatBy),
         (status, answer) -> attemptEnded(x, attempt, status, answer));
     x.attempts.add(attempt);
     x.outstanding++;
     long left = x.deadline - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
-    SocketAddress address = fleet.address(send.upstream());
+    SocketAddress address = fleet.address(send.endpointId());
     if (timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
-      attempt.call.end(Status.NOT_SENT, null);
+      attempt.call.end(AttemptStatus.NOT_SENT, null);
     } else if (address == null) {
-      attempt.call.end(Status.CONNECT_FAILED, null);
+      attempt.call.end(AttemptStatus.CONNECT_FAILED, null);
     } else {
       pool.start(attempt.call, address, x.forward(timeout), timeout);
     }
@@ -355,17 +355,17 @@
    * Whether an attempt may still start. Guards against a connection that comes up late, and against a decision made before the
    * news that is told next: by then the upstream may drain, the request be over or past its repeats, or its client gone.
    */
-  private boolean isWanted(Exchange x, long upstream, long repeatBy) {
+  private boolean isWanted(ProxiedRequest x, long upstream, long repeatBy) {
     return x.isAwaited() && fleet.isReady(upstream) && clock.now() < repeatBy;
   }
 
-  private void attemptEnded(Exchange x, Attempt attempt, Status status, FullHttpResponse answer) {
+  private void attemptEnded(ProxiedRequest x, Attempt attempt, AttemptStatus status, FullHttpResponse answer) {
     long latency = clock.now() - attempt.sentAt;
     attempt.status = status;
     attempt.latency = latency;
     trail.attempted(status);
     Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
-    FullHttpResponse served = status == Status.SERVED ? answer.retain() : null;
+    FullHttpResponse served = status == AttemptStatus.SUCCESS ? answer.retain() : null;
     enqueue(() -> {
       x.outstanding--;
       if (served != null) {
@@ -378,23 +378,23 @@
         refuse(x);
       }
       return known(x)
-          ? new Outcome(x.id, attempt.number, attempt.call.upstream, status, latency, x.isEnded(), load) : null;
+          ? new AttemptEnded(x.id, attempt.number, attempt.call.upstream, status, latency, x.isEnded(), load) : null;
     });
   }
 
   private void probe(long upstream) {
     long sentAt = clock.now();
-    Call call = new Call(upstream, () -> true, (status, answer) -> {
+    UpstreamCall call = new UpstreamCall(upstream, () -> true, (status, answer) -> {
       long latency = clock.now() - sentAt;
       Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
-      enqueue(() -> new ProbeResult(upstream, status, latency, load));
+      enqueue(() -> new HealthCheckResult(upstream, status, latency, load));
     });
     SocketAddress address = fleet.address(upstream);
     if (address == null) {
-      call.end(Status.CONNECT_FAILED, null);
+      call.end(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
-    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
+    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, DownstreamListener.HEALTH);
     request.headers().set(HttpHeaderNames.HOST, "upstream");
     pool.start(call, address, request, PROBE_NANOS);
   }
--- a/src/main/java/loadbalancer/serve/Trail.java
+++ b/src/main/java/loadbalancer/serve/RequestTrace.java
@@ -1,20 +1,20 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.Status;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import loadbalancer.DecisionEngine.AttemptStatus;
 
 /**
  * What can be read afterwards: a line of figures for each second in which something was answered, and the course of some of
  * the requests that ended badly. It is bounded: on a bad day it would else take the core that the requests need.
  */
-final class Trail {
+final class RequestTrace {
 
-  private static final Logger LOG = Logger.getLogger(Trail.class.getName());
+  private static final Logger LOG = Logger.getLogger(RequestTrace.class.getName());
 
   private static final long PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
   /** Requests told of in a period; the figures count all of them. */
@@ -30,16 +30,16 @@
   private int refusedLater;
   private int failed;
   private int told;
-  private final int[] attempts = new int[Status.values().length];
+  private final int[] attempts = new int[AttemptStatus.values().length];
   private long latestTimer;
 
   /** {@code names} gives an upstream's name on the list. */
-  Trail(LongFunction<String> names) {
+  RequestTrace(LongFunction<String> names) {
     this.names = names;
   }
 
   /** An attempt has ended. */
-  void attempted(Status status) {
+  void attempted(AttemptStatus status) {
     attempts[status.ordinal()]++;
   }
 
@@ -49,12 +49,12 @@
   }
 
   /** A request has its final answer. */
-  void answered(Exchange x, HttpResponseStatus status, long now) {
+  void answered(ProxiedRequest x, HttpResponseStatus status, long now) {
     long took = now - x.takenAt;
     boolean isServed = status.equals(HttpResponseStatus.OK);
     boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
     boolean atOnce = refused && took < AT_ONCE_NANOS;
-    boolean isLate = isServed && took > x.type.aimNanos();
+    boolean isLate = isServed && took > x.type.latencyObjectiveNanos();
     served += isServed ? 1 : 0;
     late += isLate ? 1 : 0;
     refusedAtOnce += atOnce ? 1 : 0;
@@ -75,7 +75,7 @@
     StringBuilder line = new StringBuilder(200).append("served ").append(served).append(", ").append(late)
         .append(" of them past the aim; refused ").append(refusedAtOnce).append(" at once, ").append(refusedLater)
         .append(" later; failed ").append(failed).append("; attempts");
-    for (Status status : Status.values()) {
+    for (AttemptStatus status : AttemptStatus.values()) {
       if (attempts[status.ordinal()] > 0) {
         line.append(' ').append(attempts[status.ordinal()]).append(' ').append(status);
       }
@@ -86,14 +86,14 @@
     latestTimer = 0;
   }
 
-  private void tell(Exchange x, HttpResponseStatus status, long now) {
+  private void tell(ProxiedRequest x, HttpResponseStatus status, long now) {
     StringBuilder line = new StringBuilder(200).append(x.traceId).append(' ').append(x.type.name()).append(" answered ")
         .append(status.code()).append(" after ").append(millis(now - x.takenAt)).append(" of ")
         .append(millis(x.deadline - x.takenAt)).append(" ms");
     if (millis(x.unreadNanos) > 0) {
       line.append(", read up to ").append(millis(x.unreadNanos)).append(" ms late");
     }
-    for (Exchange.Attempt a : x.attempts) {
+    for (ProxiedRequest.Attempt a : x.attempts) {
       line.append("; sent to ").append(names.apply(a.call.upstream)).append(" at ").append(millis(a.sentAt - x.takenAt));
       if (a.status == null) {
         line.append(", out");
@@ -106,7 +106,7 @@
 
   /** Named here, or the logger would walk the stack to find out who calls. */
   private static void log(String line) {
-    LOG.logp(Level.INFO, "Trail", "log", line);
+    LOG.logp(Level.INFO, "RequestTrace", "log", line);
   }
 
   private static long millis(long nanos) {
--- a/src/main/java/loadbalancer/serve/PatientIoHandler.java
+++ b/src/main/java/loadbalancer/serve/RoundingIoHandler.java
@@ -12,20 +12,20 @@
  * nearest: with less than half of one left it does not sleep but looks at the sockets again and again, for as long as that lasts.
  * Guards the processor time, of which a balancer has a part of a core. A timer comes up to a millisecond late for it.
  */
-final class PatientIoHandler implements IoHandler {
+final class RoundingIoHandler implements IoHandler {
 
   private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final IoHandler handler;
   private Patience context;
 
-  private PatientIoHandler(IoHandler handler) {
+  private RoundingIoHandler(IoHandler handler) {
     this.handler = handler;
   }
 
   /** The factory of such handlers around those of another. */
   static IoHandlerFactory around(IoHandlerFactory factory) {
-    return executor -> new PatientIoHandler(factory.newHandler(executor));
+    return executor -> new RoundingIoHandler(factory.newHandler(executor));
   }
 
   /** The loop's own view of its timers, with the time to the next one rounded up. */
--- a/src/main/java/loadbalancer/serve/Call.java
+++ b/src/main/java/loadbalancer/serve/UpstreamCall.java
@@ -1,17 +1,17 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.Status;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
+import loadbalancer.DecisionEngine.AttemptStatus;
 
 /** One request on its way to an upstream; it ends exactly once. */
-final class Call {
+final class UpstreamCall {
 
   /** Told how a call ended; the answer is there where one came, and is the pool's to release. */
   interface Ended {
-    void ended(Status status, FullHttpResponse answer);
+    void ended(AttemptStatus status, FullHttpResponse answer);
   }
 
   final long upstream;
@@ -25,7 +25,7 @@
   private boolean done;
 
   /** {@code wanted} is asked right before the first byte goes out: much may have come between that and the decision. */
-  Call(long upstream, BooleanSupplier wanted, Ended ended) {
+  UpstreamCall(long upstream, BooleanSupplier wanted, Ended ended) {
     this.upstream = upstream;
     this.wanted = wanted;
     this.ended = ended;
@@ -40,7 +40,7 @@
   }
 
   /** Ends it, if nothing has yet. */
-  void end(Status status, FullHttpResponse answer) {
+  void end(AttemptStatus status, FullHttpResponse answer) {
     if (!done) {
       done = true;
       channel = null;
--- a/src/main/java/loadbalancer/serve/Warmup.java
+++ b/src/main/java/loadbalancer/serve/WarmUp.java
@@ -1,12 +1,5 @@
 package loadbalancer.serve;
 
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.State;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Tenant;
-import loadbalancer.Logic;
-import loadbalancer.serve.ServerList.Server;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -37,6 +30,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import java.util.stream.IntStream;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.Tenant;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.LoadBalancingEngine;
+import loadbalancer.serve.EndpointList.Member;
 
 /**
  * Runs the program's own code on requests of its own before the first client comes. Everything is the real thing but the
@@ -47,7 +47,7 @@
  * a core is little work, and left the code cold. It would do harm where a start is urgent and the requests are few: clients
  * wait for all of it.
  */
-final class Warmup {
+final class WarmUp {
 
   /** Enough for most code on a request's way to be compiled; what is left costs clients less than a later start. */
   static final int MOST_REQUESTS = 200;
@@ -64,9 +64,9 @@
   /** A start waits no longer than this: bounds it on a machine that is far slower than any seen. */
   private static final long MOST_MILLIS = 5000;
 
-  private static final Logger LOG = Logger.getLogger(Warmup.class.getName());
+  private static final Logger LOG = Logger.getLogger(WarmUp.class.getName());
 
-  private Warmup() {}
+  private WarmUp() {}
 
   static void run(Settings settings) {
     Count count = run(settings, MOST_MILLIS);
@@ -78,7 +78,7 @@
   /** The most where the settings do not tell how much there is to do. */
   static int requests(Settings settings) {
     double quotas = settings.tenants().stream().mapToDouble(Tenant::quotaPerSecond).sum();
-    double own = quotas <= 0 ? MOST_REQUESTS : quotas / settings.groupSize() * SECONDS;
+    double own = quotas <= 0 ? MOST_REQUESTS : quotas / settings.instanceCount() * SECONDS;
     return (int) Math.max(LEAST_REQUESTS, Math.min(MOST_REQUESTS, own));
   }
 
@@ -101,24 +101,24 @@
   }
 
   private static void start(EventLoopGroup group, Settings settings, Client client) {
-    LocalAddress upstream = new LocalAddress(Warmup.class);
-    LocalAddress balancer = new LocalAddress(Frontend.class);
-    Clock clock = new Clock();
-    Fleet fleet = new Fleet(clock);
-    Sockets sockets = new Sockets(Integer.MAX_VALUE);
-    UpstreamPool pool = new UpstreamPool(new Bootstrap().group(group).channel(LocalChannel.class), sockets,
+    LocalAddress upstream = new LocalAddress(WarmUp.class);
+    LocalAddress balancer = new LocalAddress(DownstreamListener.class);
+    MonotonicClock clock = new MonotonicClock();
+    EndpointDirectory fleet = new EndpointDirectory(clock);
+    DescriptorBudget sockets = new DescriptorBudget(Integer.MAX_VALUE);
+    ConnectionPool pool = new ConnectionPool(new Bootstrap().group(group).channel(LocalChannel.class), sockets,
         settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady);
-    Node node = new Node(group.next(), clock, settings, false, n -> new Logic(settings, n), fleet, pool,
+    RequestDispatcher node = new RequestDispatcher(group.next(), clock, settings, false, n -> new LoadBalancingEngine(settings, n), fleet, pool,
         new NoList(), (to, data) -> { });
-    Frontend frontend = new Frontend(node, clock, new Pulse(group.next(), clock), sockets, pool, settings, Long.MAX_VALUE);
-    node.news(ListKind.CACHED, new ServerList(0, true,
-        IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
+    DownstreamListener frontend = new DownstreamListener(node, clock, new EventLoopLagMonitor(group.next(), clock), sockets, pool, settings, Long.MAX_VALUE);
+    node.news(UpdateKind.CACHED, new EndpointList(0, true,
+        IntStream.range(0, UPSTREAMS).mapToObj(i -> new Member("warm-up-" + i, upstream, settings.zone(), 0, EndpointState.READY, 1, 0))
             .toList()));
     ServerBootstrap listeners = new ServerBootstrap().group(group).channel(LocalServerChannel.class);
     listeners.childHandler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Frontend.MOST_BODY), new Upstream());
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(DownstreamListener.MOST_BODY), new Upstream());
       }
     }).bind(upstream);
     frontend.listen(listeners, balancer).addListener(f -> {
@@ -126,7 +126,7 @@
           .handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Frontend.MOST_BODY), client);
+              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(DownstreamListener.MOST_BODY), client);
             }
           });
       for (int i = 0; i < CLIENTS; i++) {
@@ -136,7 +136,7 @@
   }
 
   /** Discovery that never answers. */
-  private static final class NoList implements Node.ListSource {
+  private static final class NoList implements RequestDispatcher.ListSource {
     @Override
     public void watch(boolean on) {}
 
@@ -195,12 +195,12 @@
         return;
       }
       RequestClass type = classes.get(asked % classes.size());
-      FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, Frontend.API,
+      FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, DownstreamListener.API,
           Unpooled.wrappedBuffer(new byte[200]));
-      request.headers().set(HttpHeaderNames.HOST, "warm-up").set(Frontend.ID, "warm-up-" + asked)
-          .set(Frontend.CLASS, type.name()).set(Frontend.TENANT, tenant).set(Frontend.HINT, 10_000)
-          .set(Frontend.IDEMPOTENCY_KEY, asked).set(HttpHeaderNames.COOKIE, Frontend.KEY_COOKIE + "=" + asked % 100)
-          .set(Frontend.EXPIRES, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
+      request.headers().set(HttpHeaderNames.HOST, "warm-up").set(DownstreamListener.ID, "warm-up-" + asked)
+          .set(DownstreamListener.CLASS, type.name()).set(DownstreamListener.TENANT, tenant).set(DownstreamListener.HINT, 10_000)
+          .set(DownstreamListener.IDEMPOTENCY_KEY, asked).set(HttpHeaderNames.COOKIE, DownstreamListener.KEY_COOKIE + "=" + asked % 100)
+          .set(DownstreamListener.EXPIRES, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
           .set(HttpHeaderNames.CONTENT_LENGTH, 200);
       asked++;
       context.writeAndFlush(request);
--- a/src/main/java/loadbalancer/wire/Fields.java
+++ b/src/main/java/loadbalancer/wire/JsonFields.java
@@ -10,25 +10,25 @@
 import java.util.Map;
 
 /** A JSON object with checked access to its fields. */
-public final class Fields {
+public final class JsonFields {
 
   private final String path;
   private final Map<?, ?> values;
 
-  public Fields(String path, Map<?, ?> values) {
+  public JsonFields(String path, Map<?, ?> values) {
     this.path = path;
     this.values = values;
   }
 
   /** The one object that a text holds; {@code name} is what messages call it. */
-  public static Fields parse(JsonFactory json, String name, String text) throws IOException {
+  public static JsonFields parse(JsonFactory json, String name, String text) throws IOException {
     try (JsonParser parser = json.createParser(text)) {
       if (parser.nextToken() == null) {
-        throw new WireException("expected a " + name + ", got an empty line");
+        throw new MalformedInputException("expected a " + name + ", got an empty line");
       }
       Object value = read(parser);
       if (parser.nextToken() != null) {
-        throw new WireException("expected one value a line, got more");
+        throw new MalformedInputException("expected one value a line, got more");
       }
       return object(name, value);
     }
@@ -59,7 +59,7 @@
       }
       case VALUE_NUMBER_INT -> {
         if (in.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
-          throw new WireException("number " + in.getText() + " does not fit 64 bits");
+          throw new MalformedInputException("number " + in.getText() + " does not fit 64 bits");
         }
         return in.getLongValue();
       }
@@ -76,19 +76,19 @@
   }
 
   /** Casts a value to an object, or says what was expected. */
-  public static Fields object(String path, Object value) {
+  public static JsonFields object(String path, Object value) {
     if (value instanceof Map<?, ?> map) {
-      return new Fields(path, map);
+      return new JsonFields(path, map);
     }
     throw bad(path, "an object", value);
   }
 
-  private static WireException bad(String path, String expected, Object value) {
-    return new WireException("field " + path + ": expected " + expected + ", got "
+  private static MalformedInputException bad(String path, String expected, Object value) {
+    return new MalformedInputException("field " + path + ": expected " + expected + ", got "
         + (value == null ? "nothing" : value instanceof String ? "\"" + value + "\"" : value.toString()));
   }
 
-  private WireException bad(String name, String expected) {
+  private MalformedInputException bad(String name, String expected) {
     return bad(path + "." + name, expected, values.get(name));
   }
 
@@ -149,16 +149,16 @@
   }
 
   /** A nested object; an empty one where it is absent. */
-  public Fields nested(String name) {
-    return has(name) ? object(path + "." + name, values.get(name)) : new Fields(path + "." + name, Map.of());
+  public JsonFields nested(String name) {
+    return has(name) ? object(path + "." + name, values.get(name)) : new JsonFields(path + "." + name, Map.of());
   }
 
   /** An array of objects that has to be there. */
-  public List<Fields> objects(String name) {
+  public List<JsonFields> objects(String name) {
     if (!(values.get(name) instanceof List<?> list)) {
       throw bad(name, "an array");
     }
-    List<Fields> out = new ArrayList<>(list.size());
+    List<JsonFields> out = new ArrayList<>(list.size());
     for (int i = 0; i < list.size(); i++) {
       out.add(object(path + "." + name + "[" + i + "]", list.get(i)));
     }
--- a/src/main/java/loadbalancer/wire/WireException.java
+++ b/src/main/java/loadbalancer/wire/MalformedInputException.java
@@ -1,11 +1,11 @@
 package loadbalancer.wire;
 
 /** Malformed input; the message says what was wrong and, once known, on which line. */
-public final class WireException extends RuntimeException {
+public final class MalformedInputException extends RuntimeException {
 
   private static final long serialVersionUID = 1L;
 
-  public WireException(String message) {
+  public MalformedInputException(String message) {
     super(message);
   }
 }
--- a/src/test/java/loadbalancer/DeployTest.java
+++ b/src/test/java/loadbalancer/DeploymentTest.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** What {@code run} in the deploy file does before the virtual machine starts, with a stand-in for it that tells its arguments. */
-class DeployTest {
+class DeploymentTest {
 
   /** Place of the page faults of ended children in /proc/PID/stat, counted from behind the name. */
   private static final int CHILDREN_FAULTS = 8;
--- a/src/test/java/loadbalancer/Driver.java
+++ b/src/test/java/loadbalancer/EngineDriver.java
@@ -1,38 +1,39 @@
 package loadbalancer;
 
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Contract;
-import loadbalancer.Balancer.DedupScope;
-import loadbalancer.Balancer.Effect;
-import loadbalancer.Balancer.Event;
-import loadbalancer.Balancer.Limits;
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Listed;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.Prices;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.SetTimer;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.State;
-import loadbalancer.Balancer.Status;
-import loadbalancer.Balancer.Tenant;
-import loadbalancer.Balancer.TimerFired;
-import loadbalancer.Balancer.WeightKind;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.DedupScope;
+import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.Limits;
+import loadbalancer.DecisionEngine.Prices;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.ServiceContract;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.Tenant;
+import loadbalancer.DecisionEngine.TimerFired;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WeightKind;
 
 /** Drives one instance by hand: a clock, its timers, and the actions of the last step. */
-final class Driver {
+final class EngineDriver {
 
   static final long MS = 1_000_000L;
 
-  final Balancer module;
+  final DecisionEngine module;
   final List<SetTimer> timers = new ArrayList<>();
   final List<Sent> outstanding = new ArrayList<>();
   final Map<String, Integer> refusals = new HashMap<>();
@@ -43,31 +44,31 @@
   /** An attempt that has no outcome yet. */
   record Sent(String id, int attempt, long upstream, long at) {}
 
-  Driver(Settings settings) {
+  EngineDriver(Settings settings) {
     this(settings, 7);
   }
 
-  Driver(Settings settings, long seed) {
-    module = new Logic(settings, seed);
+  EngineDriver(Settings settings, long seed) {
+    module = new LoadBalancingEngine(settings, seed);
   }
 
-  static RequestClass type(String name, Effect effect, DedupScope scope) {
+  static RequestClass type(String name, Idempotence effect, DedupScope scope) {
     return new RequestClass(name, effect, scope, 2000 * MS, 400 * MS, 0, 2000 * MS, 1, 0, false);
   }
 
   static Settings settings(boolean onRequest, List<Tenant> tenants, RequestClass... classes) {
     return new Settings(0, 1, "a", List.of(classes), tenants,
         new Limits(true, false, false, true, true, 1000 * MS, 4, 10_000, 1, 200 * MS),
-        new Contract(8 * MS, onRequest ? 10_000 * MS : 0, 250 * MS, 0.3, 8000 * MS, 3, 3000 * MS),
+        new ServiceContract(8 * MS, onRequest ? 10_000 * MS : 0, 250 * MS, 0.3, 8000 * MS, 3, 3000 * MS),
         new Prices(0, 0, 0), onRequest, WeightKind.NONE, 0.2, true, MS);
   }
 
   static Settings safe() {
-    return settings(false, List.of(), type("c", Effect.SAFE, DedupScope.ALL));
+    return settings(false, List.of(), type("c", Idempotence.IDEMPOTENT, DedupScope.ALL));
   }
 
-  static Listed up(long id) {
-    return new Listed(id, "a", 0, State.READY, 0, 1);
+  static Endpoint up(long id) {
+    return new Endpoint(id, "a", 0, EndpointState.READY, 0, 1);
   }
 
   List<Action> step(Event event) {
@@ -76,25 +77,25 @@
     for (Action action : actions) {
       if (action instanceof SetTimer t) {
         timers.add(t);
-      } else if (action instanceof Balancer.Refuse r) {
-        refusals.merge(r.id().substring(0, 1), 1, Integer::sum);
-      } else if (action instanceof Send s) {
-        outstanding.add(new Sent(s.id(), attempts.merge(s.id(), 1, Integer::sum) - 1, s.upstream(), now));
+      } else if (action instanceof RejectRequest r) {
+        refusals.merge(r.requestId().substring(0, 1), 1, Integer::sum);
+      } else if (action instanceof StartAttempt s) {
+        outstanding.add(new Sent(s.requestId(), attempts.merge(s.requestId(), 1, Integer::sum) - 1, s.endpointId(), now));
       }
     }
     return actions;
   }
 
-  List<Action> list(ListKind kind, Listed... entries) {
-    return step(new ListNews(kind, List.of(entries)));
+  List<Action> list(UpdateKind kind, Endpoint... entries) {
+    return step(new EndpointListUpdate(kind, List.of(entries)));
   }
 
-  Driver upstreams(int n) {
-    Listed[] entries = new Listed[n];
+  EngineDriver upstreams(int n) {
+    Endpoint[] entries = new Endpoint[n];
     for (int i = 0; i < n; i++) {
       entries[i] = up(100 + i);
     }
-    list(ListKind.CACHED, entries);
+    list(UpdateKind.CACHED, entries);
     return this;
   }
 
@@ -107,23 +108,23 @@
   }
 
   List<Action> request(String id, String type, String tenant, String key, long hint) {
-    return step(new Request(id, type, tenant, key, now + 2000 * MS, hint, false));
+    return step(new RequestArrived(id, type, tenant, key, now + 2000 * MS, hint, false));
   }
 
   /** Ends the attempt of a request at an upstream. */
-  List<Action> end(String id, long upstream, Status status, long latencyNanos) {
+  List<Action> end(String id, long upstream, AttemptStatus status, long latencyNanos) {
     Sent sent = outstanding.stream().filter(s -> s.id().equals(id) && s.upstream() == upstream).findFirst().get();
     return end(sent, status, latencyNanos);
   }
 
-  List<Action> end(Sent sent, Status status, long latencyNanos) {
+  List<Action> end(Sent sent, AttemptStatus status, long latencyNanos) {
     outstanding.remove(sent);
-    return step(new Outcome(sent.id(), sent.attempt(), sent.upstream(), status, latencyNanos,
-        status == Status.SERVED, Map.of()));
+    return step(new AttemptEnded(sent.id(), sent.attempt(), sent.upstream(), status, latencyNanos,
+        status == AttemptStatus.SUCCESS, Map.of()));
   }
 
   /** Lets time pass with upstreams that end every attempt after the latency. */
-  void serveFor(long nanos, Status status, long latencyNanos) {
+  void serveFor(long nanos, AttemptStatus status, long latencyNanos) {
     for (long end = now + nanos; now < end; ) {
       pass(Math.min(5 * MS, end - now));
       for (Sent s : List.copyOf(outstanding)) {
@@ -140,7 +141,7 @@
     long upstream = sentTo(request(id, "c", key));
     if (upstream >= 0) {
       pass(latencyNanos);
-      end(id, upstream, Status.SERVED, latencyNanos);
+      end(id, upstream, AttemptStatus.SUCCESS, latencyNanos);
     }
     return upstream;
   }
@@ -163,7 +164,7 @@
   }
 
   static long sentTo(List<Action> actions) {
-    return actions.stream().filter(a -> a instanceof Send).mapToLong(a -> ((Send) a).upstream()).findFirst().orElse(-1);
+    return actions.stream().filter(a -> a instanceof StartAttempt).mapToLong(a -> ((StartAttempt) a).endpointId()).findFirst().orElse(-1);
   }
 
   static boolean has(List<Action> actions, Class<? extends Action> kind) {
--- a/src/test/java/loadbalancer/StormTest.java
+++ b/src/test/java/loadbalancer/OverloadTest.java
@@ -3,31 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Cancel;
-import loadbalancer.Balancer.ClientGone;
-import loadbalancer.Balancer.Contract;
-import loadbalancer.Balancer.DedupScope;
-import loadbalancer.Balancer.Effect;
-import loadbalancer.Balancer.Event;
-import loadbalancer.Balancer.Fail;
-import loadbalancer.Balancer.Limits;
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Listed;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.Prices;
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.SetTimer;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.State;
-import loadbalancer.Balancer.Status;
-import loadbalancer.Balancer.Tenant;
-import loadbalancer.Balancer.TimerFired;
-import loadbalancer.Balancer.WeightKind;
 import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -35,11 +10,36 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.CancelAttempt;
+import loadbalancer.DecisionEngine.ClientDisconnected;
+import loadbalancer.DecisionEngine.DedupScope;
+import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.Limits;
+import loadbalancer.DecisionEngine.Prices;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.ServiceContract;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.Tenant;
+import loadbalancer.DecisionEngine.TimerFired;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WeightKind;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Random legal events over seeds and settings; the observer knows the four rules and nothing of the module. */
-class StormTest {
+class OverloadTest {
 
   private static final long MS = 1_000_000L;
 
@@ -50,7 +50,7 @@
     final RequestClass type;
     final long deadline;
     final List<Try> tries = new ArrayList<>();
-    final List<Status> ends = new ArrayList<>();
+    final List<AttemptStatus> ends = new ArrayList<>();
     boolean answered;
 
     Entry(RequestClass type, long deadline) {
@@ -64,11 +64,11 @@
   }
 
   private final Map<String, Entry> book = new LinkedHashMap<>();
-  private final Map<Long, Listed> fleet = new LinkedHashMap<>();
+  private final Map<Long, Endpoint> fleet = new LinkedHashMap<>();
   private final List<SetTimer> timers = new ArrayList<>();
   private SplittableRandom random;
   private Settings settings;
-  private Balancer module;
+  private DecisionEngine module;
   private long now = 5_000_000 * MS;
 
   @ParameterizedTest
@@ -76,27 +76,27 @@
   void rulesHold(long seed) {
     random = new SplittableRandom(seed);
     settings = settings();
-    module = new Logic(settings, seed);
+    module = new LoadBalancingEngine(settings, seed);
     for (int i = 0; i < 8; i++) {
       change(i);
     }
-    step(new ListNews(ListKind.CACHED, List.copyOf(fleet.values())));
+    step(new EndpointListUpdate(UpdateKind.CACHED, List.copyOf(fleet.values())));
     int id = 0;
     for (int round = 0; round < 3000; round++) {
       now += random.nextLong(6) * MS;
       fire();
       if (random.nextInt(100) < 4) {
-        Listed changed = change(random.nextInt(12));
-        step(random.nextBoolean() ? new ListNews(ListKind.DELTA, List.of(changed))
-            : new ListNews(ListKind.FULL, List.copyOf(fleet.values())));
+        Endpoint changed = change(random.nextInt(12));
+        step(random.nextBoolean() ? new EndpointListUpdate(UpdateKind.DELTA, List.of(changed))
+            : new EndpointListUpdate(UpdateKind.FULL, List.copyOf(fleet.values())));
       } else if (random.nextInt(100) < 1) {
-        step(new ListNews(ListKind.FAILED, List.of()));
+        step(new EndpointListUpdate(UpdateKind.FAILED, List.of()));
       }
       for (int n = random.nextInt(4); n > 0; n--) {
         RequestClass type = settings.classes().get(random.nextInt(settings.classes().size()));
         long deadline = now + (20 + random.nextInt(600)) * MS;
         book.put("r" + id, new Entry(type, deadline));
-        step(new Request("r" + id++, type.name(), random.nextBoolean() ? "t" : null,
+        step(new RequestArrived("r" + id++, type.name(), random.nextBoolean() ? "t" : null,
             random.nextInt(5) == 0 ? null : "k" + random.nextInt(30), deadline, 0, false));
       }
       outcomes(40);
@@ -118,7 +118,7 @@
   /** The size of one of the module's private collections: what it keeps is not to be seen from outside. */
   private int sizeOf(String field) {
     try {
-      Field f = Logic.class.getDeclaredField(field);
+      Field f = LoadBalancingEngine.class.getDeclaredField(field);
       f.setAccessible(true);
       Object kept = f.get(module);
       return kept instanceof Map<?, ?> map ? map.size() : ((Collection<?>) kept).size();
@@ -129,7 +129,7 @@
 
   private Settings settings() {
     List<RequestClass> classes = new ArrayList<>();
-    for (Effect effect : Effect.values()) {
+    for (Idempotence effect : Idempotence.values()) {
       for (DedupScope scope : DedupScope.values()) {
         classes.add(new RequestClass(effect + " " + scope, effect, scope, (50 + random.nextInt(300)) * MS,
             (50 + random.nextInt(200)) * MS, 0, 700 * MS, 1 + random.nextInt(3), 0, false));
@@ -138,14 +138,14 @@
     return new Settings(0, 1 + random.nextInt(3), "z0", classes, List.of(new Tenant("t", 1, random.nextInt(200))),
         new Limits(random.nextBoolean(), false, false, random.nextBoolean(), true, 1000 * MS, 1 + random.nextInt(6),
             40 + random.nextInt(1000), 1, 100 * MS),
-        new Contract(12 * MS, random.nextBoolean() ? 10_000 * MS : 0, 0, 0.2, 5000 * MS, 3, 2000 * MS),
+        new ServiceContract(12 * MS, random.nextBoolean() ? 10_000 * MS : 0, 0, 0.2, 5000 * MS, 3, 2000 * MS),
         new Prices(0, 0, 0), random.nextBoolean(), WeightKind.values()[random.nextInt(4)], 0.1, true, MS);
   }
 
   /** A new state for one upstream. */
-  private Listed change(long id) {
-    State state = random.nextInt(3) > 0 ? State.READY : random.nextBoolean() ? State.DRAINING : State.GONE;
-    Listed listed = new Listed(id, "z" + id % 2, (int) (id / 3 * 2 + id % 2), state,
+  private Endpoint change(long id) {
+    EndpointState state = random.nextInt(3) > 0 ? EndpointState.READY : random.nextBoolean() ? EndpointState.DRAINING : EndpointState.GONE;
+    Endpoint listed = new Endpoint(id, "z" + id % 2, (int) (id / 3 * 2 + id % 2), state,
         random.nextInt(4) == 0 ? now : 0, 1 + random.nextInt(4));
     fleet.put(id, listed);
     return listed;
@@ -164,19 +164,19 @@
       for (int i = 0; i < e.tries.size(); i++) {
         boolean late = now >= e.deadline;
         if (e.ends.get(i) == null && (late || random.nextInt(100) < percent / 4)) {
-          Status status = e.answered && random.nextBoolean() ? Status.CANCELLED : late ? Status.TIMEOUT
-              : random.nextInt(2) == 0 ? Status.SERVED : Status.values()[random.nextInt(Status.values().length)];
+          AttemptStatus status = e.answered && random.nextBoolean() ? AttemptStatus.CANCELLED : late ? AttemptStatus.TIMEOUT
+              : random.nextInt(2) == 0 ? AttemptStatus.SUCCESS : AttemptStatus.values()[random.nextInt(AttemptStatus.values().length)];
           e.ends.set(i, status);
-          e.answered |= status == Status.SERVED;
-          step(new Outcome(entry.getKey(), i, e.tries.get(i).upstream(), status, now - e.tries.get(i).at(), e.answered,
+          e.answered |= status == AttemptStatus.SUCCESS;
+          step(new AttemptEnded(entry.getKey(), i, e.tries.get(i).upstream(), status, now - e.tries.get(i).at(), e.answered,
               Map.of()));
         }
       }
       if (!e.answered && random.nextInt(2000) == 0) {
         e.answered = true;
-        step(new ClientGone(entry.getKey()));
+        step(new ClientDisconnected(entry.getKey()));
       }
-      assertTrue(e.answered || now <= e.deadline + settings.contract().answerSlackNanos(), "late: " + entry.getKey());
+      assertTrue(e.answered || now <= e.deadline + settings.contract().responseSlackNanos(), "late: " + entry.getKey());
     }
     book.values().removeIf(e -> e.answered && e.out() == 0);
   }
@@ -187,42 +187,42 @@
     for (Action action : actions) {
       if (action instanceof SetTimer t) {
         timers.add(t);
-      } else if (action instanceof Send s) {
-        checkSend(book.get(s.id()), s);
-      } else if (action instanceof Refuse r) {
-        Entry e = book.get(r.id());
+      } else if (action instanceof StartAttempt s) {
+        checkSend(book.get(s.requestId()), s);
+      } else if (action instanceof RejectRequest r) {
+        Entry e = book.get(r.requestId());
         assertTrue(!e.answered, "one final answer");
         boolean open = e.ends.stream().anyMatch(x -> x == null || !x.provesNotRun());
-        assertTrue(!open || e.type.effect() == Effect.SAFE
-            || e.type.effect() == Effect.KEYED && e.type.dedupScope() == DedupScope.ALL, "refusal promises too much");
+        assertTrue(!open || e.type.idempotence() == Idempotence.IDEMPOTENT
+            || e.type.idempotence() == Idempotence.IDEMPOTENCY_KEY && e.type.dedupScope() == DedupScope.ALL, "refusal promises too much");
         e.answered = true;
-      } else if (action instanceof Fail f) {
-        assertTrue(!book.get(f.id()).answered, "one final answer");
-        book.get(f.id()).answered = true;
-      } else if (action instanceof Cancel) {
-        assertTrue(settings.limits().cancel());
+      } else if (action instanceof FailRequest f) {
+        assertTrue(!book.get(f.requestId()).answered, "one final answer");
+        book.get(f.requestId()).answered = true;
+      } else if (action instanceof CancelAttempt) {
+        assertTrue(settings.limits().cancellation());
       }
     }
   }
 
-  private void checkSend(Entry e, Send s) {
-    Listed to = fleet.get(s.upstream());
+  private void checkSend(Entry e, StartAttempt s) {
+    Endpoint to = fleet.get(s.endpointId());
     assertTrue(!e.answered, "sent after the final answer");
-    assertEquals(State.READY, to.state(), "sent to a draining or gone upstream");
+    assertEquals(EndpointState.READY, to.state(), "sent to a draining or gone upstream");
     assertTrue(e.tries.size() < settings.limits().maxAttempts(), "too many attempts");
-    assertTrue(e.out() == 0 || settings.limits().secondCopies(), "second copy");
+    assertTrue(e.out() == 0 || settings.limits().hedging(), "second copy");
     assertTrue(now < e.deadline, "sent past the deadline");
     for (int i = 0; i < e.tries.size(); i++) {
       Try t = e.tries.get(i);
-      if (e.type.effect() != Effect.SAFE && (e.ends.get(i) == null || !e.ends.get(i).provesNotRun())) {
-        assertEquals(Effect.KEYED, e.type.effect(), "unsafe sent again");
+      if (e.type.idempotence() != Idempotence.IDEMPOTENT && (e.ends.get(i) == null || !e.ends.get(i).provesNotRun())) {
+        assertEquals(Idempotence.IDEMPOTENCY_KEY, e.type.idempotence(), "unsafe sent again");
         assertTrue(now - t.at() < e.type.dedupWindowNanos(), "resent past the window");
         assertTrue(e.type.dedupScope() == DedupScope.ALL
             || e.type.dedupScope() == DedupScope.ZONE && t.zone().equals(to.zone())
             || e.type.dedupScope() == DedupScope.CELL && t.cell() == to.cell(), "resent outside the group");
       }
     }
-    e.tries.add(new Try(to.upstream(), to.zone(), to.cell(), now));
+    e.tries.add(new Try(to.id(), to.zone(), to.cell(), now));
     e.ends.add(null);
   }
 }
--- a/src/test/java/loadbalancer/JarIT.java
+++ b/src/test/java/loadbalancer/PackagedJarIT.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The packaged jar as it is shipped, in a process of its own. */
-class JarIT {
+class PackagedJarIT {
 
   @TempDir
   Path folder;
--- a/src/test/java/loadbalancer/SizeTest.java
+++ b/src/test/java/loadbalancer/PolicySizeTest.java
@@ -9,11 +9,11 @@
 import org.junit.jupiter.api.Test;
 
 /** The module is ported by hand one day and has to stay small. */
-class SizeTest {
+class PolicySizeTest {
 
   @Test
   void moduleStaysInsideItsLimits() throws IOException {
-    List<String> lines = Files.readAllLines(Path.of("src/main/java/loadbalancer/Logic.java"));
+    List<String> lines = Files.readAllLines(Path.of("src/main/java/loadbalancer/decision/LoadBalancingEngine.java"));
     long count = lines.stream().filter(l -> !l.isBlank()).count();
     assertTrue(count <= 650, "non-blank lines: " + count);
     lines.forEach(l -> assertTrue(l.length() <= 110, "over 110 columns: " + l));
--- a/src/test/java/loadbalancer/ColdFleetTest.java
+++ b/src/test/java/loadbalancer/SlowStartFleetTest.java
@@ -2,26 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Contract;
-import loadbalancer.Balancer.DedupScope;
-import loadbalancer.Balancer.Effect;
-import loadbalancer.Balancer.Limits;
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Listed;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.Prices;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.SetTimer;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.State;
-import loadbalancer.Balancer.Status;
-import loadbalancer.Balancer.Tenant;
-import loadbalancer.Balancer.TimerFired;
-import loadbalancer.Balancer.WeightKind;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -30,12 +10,33 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.LongConsumer;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.DedupScope;
+import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.Limits;
+import loadbalancer.DecisionEngine.Prices;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.DecisionEngine.ServiceContract;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.Tenant;
+import loadbalancer.DecisionEngine.TimerFired;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WeightKind;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What all balancers of a fleet together send to a cold upstream: no one of them sees what the others do. */
-class ColdFleetTest {
+class SlowStartFleetTest {
 
   private static final long MS = 1_000_000L;
   private static final long SECOND = 1000 * MS;
@@ -53,10 +54,10 @@
   private static final long START = 1_000 * SECOND;
 
   private static Settings settings(int me, int balancers, double quota) {
-    RequestClass type = new RequestClass("c", Effect.SAFE, DedupScope.ALL, 2 * SECOND, 400 * MS, 0, 2 * SECOND, 1, 0, false);
+    RequestClass type = new RequestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL, 2 * SECOND, 400 * MS, 0, 2 * SECOND, 1, 0, false);
     return new Settings(me, balancers, "a", List.of(type), List.of(new Tenant("t", 1, quota * UPSTREAMS)),
         new Limits(true, false, false, true, true, SECOND, 4, 10_000, 1, 200 * MS),
-        new Contract(20 * MS, 0, 500 * MS, FROM, WARM, MULTIPLE, WINDOW), new Prices(0, 0, 0), false, WeightKind.NONE, 0.05,
+        new ServiceContract(20 * MS, 0, 500 * MS, FROM, WARM, MULTIPLE, WINDOW), new Prices(0, 0, 0), false, WeightKind.NONE, 0.05,
         true, 5 * MS);
   }
 
@@ -69,11 +70,11 @@
     /** Requests a second that the quotas name for one upstream. */
     final double quota;
     final SplittableRandom random;
-    final Logic[] modules;
+    final LoadBalancingEngine[] modules;
     final int[] lives;
     final double[] shares;
     final PriorityQueue<Due> queue = new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
-    final List<Listed> list = new ArrayList<>();
+    final List<Endpoint> list = new ArrayList<>();
     final Map<Long, List<Long>> sends = new HashMap<>();
     long now = START;
     long order;
@@ -85,7 +86,7 @@
       this.quota = quota;
       this.asked = asked;
       random = new SplittableRandom(seed);
-      modules = new Logic[balancers];
+      modules = new LoadBalancingEngine[balancers];
       lives = new int[balancers];
       shares = new double[balancers];
       double sum = 0;
@@ -97,7 +98,7 @@
         shares[b] /= sum;
       }
       for (int u = 0; u < UPSTREAMS; u++) {
-        list.add(new Listed(100 + u, "a", 0, State.READY, 0, 1));
+        list.add(new Endpoint(100 + u, "a", 0, EndpointState.READY, 0, 1));
       }
       for (int b = 0; b < balancers; b++) {
         restart(b);
@@ -112,11 +113,11 @@
     /** Forgets all that it knew and begins with the list. */
     void restart(int b) {
       lives[b]++;
-      modules[b] = new Logic(settings(b, balancers, quota), random.nextLong());
-      step(b, new ListNews(ListKind.CACHED, List.copyOf(list)));
+      modules[b] = new LoadBalancingEngine(settings(b, balancers, quota), random.nextLong());
+      step(b, new EndpointListUpdate(UpdateKind.CACHED, List.copyOf(list)));
     }
 
-    void step(int b, Balancer.Event event) {
+    void step(int b, Event event) {
       List<Action> actions = new ArrayList<>();
       modules[b].handle(now, event, actions::add);
       int life = lives[b];
@@ -127,12 +128,12 @@
               step(b, new TimerFired(t.token()));
             }
           });
-        } else if (action instanceof Send s) {
-          sends.computeIfAbsent(s.upstream(), u -> new ArrayList<>()).add(now);
+        } else if (action instanceof StartAttempt s) {
+          sends.computeIfAbsent(s.endpointId(), u -> new ArrayList<>()).add(now);
           long sentAt = now;
           at(now + LATENCY, when -> {
             if (lives[b] == life) {
-              step(b, new Outcome(s.id(), 0, s.upstream(), Status.SERVED, when - sentAt, true, Map.of()));
+              step(b, new AttemptEnded(s.requestId(), 0, s.endpointId(), AttemptStatus.SUCCESS, when - sentAt, true, Map.of()));
             }
           });
         }
@@ -147,7 +148,7 @@
       }
       // Few keys have much of the traffic.
       String key = "k" + (int) Math.pow(1000, random.nextDouble());
-      step(b, new Request("r" + ids++, "c", "t", key, now + 2 * SECOND, 0, false));
+      step(b, new RequestArrived("r" + ids++, "c", "t", key, now + 2 * SECOND, 0, false));
       at(now + (long) (-Math.log(1 - random.nextDouble()) * SECOND / (quota * UPSTREAMS * asked)), this::arrive);
     }
 
@@ -164,10 +165,10 @@
     /** The first upstreams start anew, cold, and all balancers are told. */
     void start(int cold) {
       for (int u = 0; u < cold; u++) {
-        list.set(u, new Listed(100 + u, "a", 0, State.READY, now, 1));
+        list.set(u, new Endpoint(100 + u, "a", 0, EndpointState.READY, now, 1));
       }
       for (int b = 0; b < balancers; b++) {
-        step(b, new ListNews(ListKind.FULL, List.copyOf(list)));
+        step(b, new EndpointListUpdate(UpdateKind.FULL, List.copyOf(list)));
       }
     }
 
--- a/src/test/java/loadbalancer/drill/LinkTest.java
+++ b/src/test/java/loadbalancer/drill/SimulatorAdapterTest.java
@@ -4,8 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer;
-import loadbalancer.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayInputStream;
@@ -13,12 +11,24 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
+import loadbalancer.DecisionEngine;
+import loadbalancer.DecisionEngine.CancelAttempt;
+import loadbalancer.DecisionEngine.CheckHealth;
+import loadbalancer.DecisionEngine.CloseIdleConnections;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.FetchEndpoints;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.SendGossip;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.wire.MalformedInputException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The wire: conversations byte for byte, every action, and each kind of malformed input. */
-class LinkTest {
+class SimulatorAdapterTest {
 
   private static final String CLASS = "{\"name\":\"c\",\"aim-ns\":400000000,\"deadline-ns\":2000000000,"
       + "\"effect\":\"idempotent\",\"unknown\":[1,{}]}";
@@ -31,7 +41,7 @@
   private static String talk(String... lines) throws IOException {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     String text = String.join("\n", lines) + "\n";
-    new Link(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)), out).run();
+    new SimulatorAdapter(new ByteArrayInputStream(text.getBytes(StandardCharsets.UTF_8)), out).run();
     return out.toString(StandardCharsets.UTF_8);
   }
 
@@ -75,17 +85,17 @@
     StringWriter text = new StringWriter();
     try (JsonGenerator g = new JsonFactory().createGenerator(text)) {
       g.writeStartArray();
-      Encoder.write(g, new Balancer.Send("a", 7, 5));
-      Encoder.write(g, new Balancer.Cancel("a", 1));
-      Encoder.write(g, new Balancer.Refuse("a", 9));
-      Encoder.write(g, new Balancer.Fail("a"));
-      Encoder.write(g, new Balancer.SetTimer("t", 3));
-      Encoder.write(g, new Balancer.Watch(false));
-      Encoder.write(g, new Balancer.FetchList());
-      Encoder.write(g, new Balancer.Probe(7));
-      Encoder.write(g, new Balancer.CloseIdle(7));
-      Encoder.write(g, new Balancer.TellPeer(-1, "hi 7".getBytes(StandardCharsets.UTF_8)));
-      Encoder.write(g, new Balancer.Log("x"));
+      ActionEncoder.write(g, new StartAttempt("a", 7, 5));
+      ActionEncoder.write(g, new CancelAttempt("a", 1));
+      ActionEncoder.write(g, new RejectRequest("a", 9));
+      ActionEncoder.write(g, new FailRequest("a"));
+      ActionEncoder.write(g, new SetTimer("t", 3));
+      ActionEncoder.write(g, new WatchEndpoints(false));
+      ActionEncoder.write(g, new FetchEndpoints());
+      ActionEncoder.write(g, new CheckHealth(7));
+      ActionEncoder.write(g, new CloseIdleConnections(7));
+      ActionEncoder.write(g, new SendGossip(-1, "hi 7".getBytes(StandardCharsets.UTF_8)));
+      ActionEncoder.write(g, new DecisionEngine.LogMessage("x"));
       g.writeEndArray();
     }
     assertEquals("[{\"Deliver\":{\"rid\":\"a\",\"patience-ns\":5,\"upstream\":7}},"
@@ -115,17 +125,17 @@
     "{\"clock-ns\":1,\"groups\":[{\"balancer\":3,\"msgs\":[{\"HealthResult\":{\"upstream\":1,\"rc\":\"fine\"}}]}]} | rc: expected one of",
     "{\"clock-ns\":1,\"groups\":[]} {} | expected one value a line"})
   void malformedInputSaysWhatAndWhere(String line, String message) {
-    WireException e = assertThrows(WireException.class, () -> talk(PROVISION, line));
+    MalformedInputException e = assertThrows(MalformedInputException.class, () -> talk(PROVISION, line));
     assertTrue(e.getMessage().startsWith("line 2: "), e.getMessage());
     assertTrue(e.getMessage().contains(message), e.getMessage());
   }
 
   @Test
   void senselessSettingsAreRefusedByName() {
-    WireException none = assertThrows(WireException.class, () -> talk(PROVISION.replace(CLASS, "")));
+    MalformedInputException none = assertThrows(MalformedInputException.class, () -> talk(PROVISION.replace(CLASS, "")));
     assertEquals("line 1: settings: classes must not be empty", none.getMessage());
-    WireException negative =
-        assertThrows(WireException.class, () -> talk(PROVISION.replace("\"aim-ns\":400000000", "\"aim-ns\":-4")));
+    MalformedInputException negative =
+        assertThrows(MalformedInputException.class, () -> talk(PROVISION.replace("\"aim-ns\":400000000", "\"aim-ns\":-4")));
     assertEquals("line 1: settings: aim of class c must be above 0", negative.getMessage());
   }
 }
--- a/src/test/java/loadbalancer/serve/LeavingTest.java
+++ b/src/test/java/loadbalancer/serve/ClientDisconnectTest.java
@@ -6,19 +6,19 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.ClientGone;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.Status;
-import loadbalancer.serve.Rig.Client;
-import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.ClientDisconnected;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -26,27 +26,27 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Clients that leave, or end their sending and still listen, while their request waits or is out. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
-class LeavingTest {
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+class ClientDisconnectTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
   private static final long LONG = TimeUnit.SECONDS.toNanos(30);
 
-  private static Config one(StubServer upstream) throws IOException {
-    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")));
+  private static BalancerConfig one(FakeServer upstream) throws IOException {
+    return ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")));
   }
 
-  private static Config two(StubServer first, StubServer second) throws IOException {
-    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", first.address(), "ready"),
-        Rig.member("s-2", second.address(), "ready")));
+  private static BalancerConfig two(FakeServer first, FakeServer second) throws IOException {
+    return ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", first.address(), "ready"),
+        ProxyFixture.member("s-2", second.address(), "ready")));
   }
 
   /** Answers each request once told to. */
-  private static StubServer onCue(CountDownLatch cue) throws IOException {
-    return new StubServer(c -> {
+  private static FakeServer onCue(CountDownLatch cue) throws IOException {
+    return new FakeServer(c -> {
       while (c.next() != null) {
         cue.await();
-        c.write(StubServer.ok("x"));
+        c.write(FakeServer.ok("x"));
       }
     });
   }
@@ -54,27 +54,27 @@
   /** A module that holds what comes: nobody waits for it any more, and it is not sent on. */
   @Test
   void aClientThatLeavesWhileItsRequestIsHeldIsSeenToLeave() throws Exception {
-    Script module = new Script((event, out) -> { });
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), module)) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> { });
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream), module)) {
       try (Client client = rig.client()) {
-        client.write(Rig.get("t", ""));
-        module.next(Request.class);
+        client.write(ProxyFixture.get("t", ""));
+        module.next(RequestArrived.class);
       }
-      module.next(ClientGone.class);
+      module.next(ClientDisconnected.class);
     }
   }
 
   /** With a second request behind it the connection was not read any more, and its end not seen. */
   @Test
   void aClientThatLeavesWithAnotherRequestWaitingIsSeenToLeave() throws Exception {
-    Script module = new Script((event, out) -> { });
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), module)) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> { });
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream), module)) {
       try (Client client = rig.client()) {
-        client.write(Rig.get("t1", ""));
-        module.next(Request.class);
-        client.write(Rig.get("t2", "")).write(Rig.get("t3", ""));
+        client.write(ProxyFixture.get("t1", ""));
+        module.next(RequestArrived.class);
+        client.write(ProxyFixture.get("t2", "")).write(ProxyFixture.get("t3", ""));
       }
-      module.next(ClientGone.class);
+      module.next(ClientDisconnected.class);
     }
   }
 
@@ -82,26 +82,26 @@
   @Test
   void anAttemptThatFailsAfterItsClientHasLeftIsTheLast() throws Exception {
     CountDownLatch cue = new CountDownLatch(1);
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
-        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
-      } else if (event instanceof Outcome o && !o.finished()) {
-        out.accept(new Send(o.id(), Discoveries.number("s-1"), LONG));
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
+        out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), LONG));
+      } else if (event instanceof AttemptEnded o && !o.finished()) {
+        out.accept(new StartAttempt(o.requestId(), DiscoveryMessages.number("s-1"), LONG));
       }
     });
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       while (c.next() != null) {
         cue.await();
         c.write("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
       }
-    }); Rig rig = new Rig(one(upstream), module); Client client = rig.client()) {
-      client.write(Rig.get("t", ""));
-      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+    }); ProxyFixture rig = new ProxyFixture(one(upstream), module); Client client = rig.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
       cue.countDown();
-      Outcome outcome = module.next(Outcome.class);
-      assertEquals(Status.ERROR, outcome.status());
+      AttemptEnded outcome = module.next(AttemptEnded.class);
+      assertEquals(AttemptStatus.ERROR, outcome.status());
       assertTrue(outcome.finished(), "no more is wanted of the module");
       assertTrue(client.answer().startsWith("HTTP/1.1 500 "), "it may have run");
       assertNull(client.answer());
@@ -110,7 +110,7 @@
   }
 
   /** Waits until the balancer has read the end: it has then looked at all sockets once more, and carried out what came of it. */
-  private static void awaitLeft(Rig rig) throws IOException {
+  private static void awaitLeft(ProxyFixture rig) throws IOException {
     for (int i = 0; i < 2; i++) {
       try (Client other = rig.client()) {
         other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
@@ -122,10 +122,10 @@
   @Test
   void aClientThatEndsOnlyItsSendingGetsItsAnswer() throws Exception {
     CountDownLatch cue = new CountDownLatch(1);
-    Script module = new Script(LONG);
-    try (StubServer upstream = onCue(cue); Rig rig = new Rig(one(upstream), module); Client client = rig.client()) {
-      client.write(Rig.get("t", ""));
-      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+    ScriptedEngine module = new ScriptedEngine(LONG);
+    try (FakeServer upstream = onCue(cue); ProxyFixture rig = new ProxyFixture(one(upstream), module); Client client = rig.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
       cue.countDown();
@@ -158,24 +158,24 @@
   @EnumSource(Leaving.class)
   void whatIsDecidedInTheTurnInWhichItsClientLeavesIsNotSent(Leaving how) throws Exception {
     AtomicReference<Client> leaving = new AtomicReference<>();
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
         if (leaving.get() != null) {
           how.leave(leaving.getAndSet(null));
         }
-        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
+        out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), LONG));
       }
     });
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), module);
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream), module);
         Client client = rig.client(); Client other = rig.client()) {
       leaving.set(client);
-      client.write(Rig.get("leaves", ""));
-      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      client.write(ProxyFixture.get("leaves", ""));
+      assertEquals(AttemptStatus.NOT_SENT, module.next(AttemptEnded.class).status());
       if (how == Leaving.ENDS_ITS_SENDING) {
         assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "a final answer, and a harmless one");
         assertNull(client.answer());
       }
-      assertTrue(other.ask(Rig.get("stays", "")).startsWith("HTTP/1.1 200 "));
+      assertTrue(other.ask(ProxyFixture.get("stays", "")).startsWith("HTTP/1.1 200 "));
       assertTrue(upstream.requests.take().contains("X-Trace-Id: stays\r\n"), "the only one that was sent");
     }
   }
@@ -185,22 +185,22 @@
   @EnumSource(Leaving.class)
   void aRetryIsNotSentOnceItsClientHasLeft(Leaving how) throws Exception {
     AtomicReference<Client> leaving = new AtomicReference<>();
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
-        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
-      } else if (event instanceof Outcome o && o.attempt() == 0) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
+        out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), LONG));
+      } else if (event instanceof AttemptEnded o && o.attempt() == 0) {
         how.leave(leaving.get());
-        out.accept(new Send(o.id(), Discoveries.number("s-2"), LONG));
+        out.accept(new StartAttempt(o.requestId(), DiscoveryMessages.number("s-2"), LONG));
       }
     });
-    try (StubServer full = StubServer.answering("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
-        StubServer second = StubServer.answering(StubServer.ok("x"));
-        Rig rig = new Rig(two(full, second), module); Client client = rig.client()) {
+    try (FakeServer full = FakeServer.answering("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        FakeServer second = FakeServer.answering(FakeServer.ok("x"));
+        ProxyFixture rig = new ProxyFixture(two(full, second), module); Client client = rig.client()) {
       leaving.set(client);
-      client.write(Rig.get("t", ""));
-      assertEquals(Status.FULL, module.next(Outcome.class).status());
-      Outcome further = module.next(Outcome.class);
-      assertEquals(Status.NOT_SENT, further.status());
+      client.write(ProxyFixture.get("t", ""));
+      assertEquals(AttemptStatus.REJECTED, module.next(AttemptEnded.class).status());
+      AttemptEnded further = module.next(AttemptEnded.class);
+      assertEquals(AttemptStatus.NOT_SENT, further.status());
       assertTrue(further.finished(), "nothing more is wanted of the module");
       if (how == Leaving.ENDS_ITS_SENDING) {
         assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not run");
@@ -214,23 +214,23 @@
   void aSecondCopyIsNotSentOnceItsClientHasLeft() throws Exception {
     AtomicReference<Client> leaving = new AtomicReference<>();
     CountDownLatch cue = new CountDownLatch(1);
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r && r.workHintNanos() == 0) {
-        out.accept(new Send(r.id(), Discoveries.number("s-1"), LONG));
-      } else if (event instanceof Request r) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r && r.workHintNanos() == 0) {
+        out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), LONG));
+      } else if (event instanceof RequestArrived r) {
         Leaving.ENDS_ITS_SENDING.leave(leaving.get());
-        out.accept(new Send("r0", Discoveries.number("s-2"), LONG));
-        out.accept(new Refuse(r.id(), 0));
+        out.accept(new StartAttempt("r0", DiscoveryMessages.number("s-2"), LONG));
+        out.accept(new RejectRequest(r.requestId(), 0));
       }
     });
-    try (StubServer first = onCue(cue); StubServer second = StubServer.answering(StubServer.ok("y"));
-        Rig rig = new Rig(two(first, second), module); Client client = rig.client(); Client other = rig.client()) {
+    try (FakeServer first = onCue(cue); FakeServer second = FakeServer.answering(FakeServer.ok("y"));
+        ProxyFixture rig = new ProxyFixture(two(first, second), module); Client client = rig.client(); Client other = rig.client()) {
       leaving.set(client);
-      client.write(Rig.get("t", ""));
-      assertNotNull(first.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
-      assertTrue(other.ask(Rig.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
-      Outcome copy = module.next(Outcome.class);
-      assertEquals(Status.NOT_SENT, copy.status());
+      client.write(ProxyFixture.get("t", ""));
+      assertNotNull(first.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertTrue(other.ask(ProxyFixture.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
+      AttemptEnded copy = module.next(AttemptEnded.class);
+      assertEquals(AttemptStatus.NOT_SENT, copy.status());
       assertEquals(1, copy.attempt());
       cue.countDown();
       assertTrue(client.answer().endsWith("\r\n\r\nx"), "the one that was out");
@@ -242,17 +242,17 @@
   /** A connection that does not come up is waited for no longer, and its client need not wait either. */
   @Test
   void aRequestThatStillConnectsEndsAtOnceWhenItsClientEndsItsSending() throws Exception {
-    Script module = new Script(0);
+    ScriptedEngine module = new ScriptedEngine(0);
     try (AttemptTest.Silent upstream = new AttemptTest.Silent();
-        Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")), "on_request",
-            1000 * Rig.LIMIT_S, 1024, ""), module); Client client = rig.client()) {
-      client.write(Rig.get("t", ""));
-      module.next(Request.class);
+        ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request",
+            1000 * ProxyFixture.LIMIT_S, 1024, ""), module); Client client = rig.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      module.next(RequestArrived.class);
       client.socket.shutdownOutput();
       assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not run");
       assertNull(client.answer());
-      module.next(ClientGone.class);
-      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      module.next(ClientDisconnected.class);
+      assertEquals(AttemptStatus.NOT_SENT, module.next(AttemptEnded.class).status());
     }
   }
 
@@ -260,9 +260,9 @@
   @Test
   void whatWaitsItsTurnBehindASlowRequestIsNotSentOnceItsClientHasLeft() throws Exception {
     CountDownLatch cue = new CountDownLatch(1);
-    try (StubServer upstream = onCue(cue); Rig rig = new Rig(one(upstream), new Script(LONG)); Client client = rig.client()) {
-      client.write(Rig.get("t1", "") + Rig.get("t2", ""));
-      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+    try (FakeServer upstream = onCue(cue); ProxyFixture rig = new ProxyFixture(one(upstream), new ScriptedEngine(LONG)); Client client = rig.client()) {
+      client.write(ProxyFixture.get("t1", "") + ProxyFixture.get("t2", ""));
+      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
       cue.countDown();
@@ -277,7 +277,7 @@
   @ParameterizedTest
   @CsvSource({"''", "GET /api HT"})
   void withoutAWholeRequestTheEndOfTheSendingIsTheEnd(String part) throws Exception {
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), new Script(LONG));
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream), new ScriptedEngine(LONG));
         Client client = rig.client()) {
       client.write(part);
       client.socket.shutdownOutput();
--- a/src/test/java/loadbalancer/serve/Discoveries.java
+++ b/src/test/java/loadbalancer/serve/DiscoveryMessages.java
@@ -1,11 +1,13 @@
 package loadbalancer.serve;
 
 import java.util.List;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.UpdateKind;
 
 /** What discovery says, and the numbers that its names get. */
-final class Discoveries {
+final class DiscoveryMessages {
 
-  private Discoveries() {}
+  private DiscoveryMessages() {}
 
   /** The start of a watch with its first line; further ones are chunks of their own. */
   static String watch(String line) {
@@ -18,8 +20,8 @@
 
   /** The module's number of an upstream. */
   static long number(String id) {
-    ServerList.Server server = new ServerList.Server(id, null, "a", 0, loadbalancer.Balancer.State.READY, 1, 0);
-    return new Fleet(new Clock()).take(loadbalancer.Balancer.ListKind.FULL, new ServerList(1, true, List.of(server)))
-        .entries().get(0).upstream();
+    EndpointList.Member server = new EndpointList.Member(id, null, "a", 0, EndpointState.READY, 1, 0);
+    return new EndpointDirectory(new MonotonicClock()).take(UpdateKind.FULL, new EndpointList(1, true, List.of(server)))
+        .endpoints().get(0).id();
   }
 }
