--- a/src/test/java/loadbalancer/serve/CrossingTest.java
+++ b/src/test/java/loadbalancer/serve/EventOrderTest.java
@@ -6,20 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Cancel;
-import loadbalancer.Balancer.Fail;
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.State;
-import loadbalancer.Balancer.Status;
-import loadbalancer.Balancer.Watch;
-import loadbalancer.serve.Rig.Client;
-import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -29,6 +15,20 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.CancelAttempt;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -36,8 +36,8 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Two events in one turn of the event loop, in the order that is asked for: the loop is held while both happen. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
-class CrossingTest {
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+class EventOrderTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
   private static final long TIMEOUT = TimeUnit.MILLISECONDS.toNanos(300);
@@ -47,18 +47,18 @@
   private final BlockingQueue<Consumer<Consumer<Action>>> cues = new LinkedBlockingQueue<>();
 
   /** Sends every request but a cue to the first upstream, once. */
-  private Script module(long timeoutNanos) {
-    return new Script((event, out) -> {
-      if (event instanceof Request r && r.workHintNanos() > 0) {
+  private ScriptedEngine module(long timeoutNanos) {
+    return new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r && r.workHintNanos() > 0) {
         Consumer<Consumer<Action>> cue = cues.poll();
         if (cue != null) {
           cue.accept(out);
         }
-        out.accept(new Refuse(r.id(), 0));
-      } else if (event instanceof Request r) {
-        out.accept(new Send(r.id(), Discoveries.number("s-1"), timeoutNanos));
-      } else if (event instanceof Outcome o && !o.finished()) {
-        out.accept(new Fail(o.id()));
+        out.accept(new RejectRequest(r.requestId(), 0));
+      } else if (event instanceof RequestArrived r) {
+        out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), timeoutNanos));
+      } else if (event instanceof AttemptEnded o && !o.finished()) {
+        out.accept(new FailRequest(o.requestId()));
       }
     });
   }
@@ -73,9 +73,9 @@
 
   /** An upstream whose connections do what they are told; they have done it when {@link #does} returns. */
   private static final class Puppet implements AutoCloseable {
-    private final BlockingQueue<StubServer.Script> orders = new LinkedBlockingQueue<>();
+    private final BlockingQueue<FakeServer.ScriptedEngine> orders = new LinkedBlockingQueue<>();
     private final BlockingQueue<Boolean> done = new LinkedBlockingQueue<>();
-    final StubServer server = new StubServer(c -> {
+    final FakeServer server = new FakeServer(c -> {
       while (c.next() != null) {
         orders.take().run(c);
         done.add(true);
@@ -84,10 +84,10 @@
 
     Puppet() throws IOException {}
 
-    void does(StubServer.Script order) {
+    void does(FakeServer.ScriptedEngine order) {
       orders.add(order);
       try {
-        assertNotNull(done.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+        assertNotNull(done.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -99,29 +99,29 @@
     }
   }
 
-  private static void answer(StubServer.Connection c) throws IOException {
-    c.write(StubServer.ok("first"));
+  private static void answer(FakeServer.Connection c) throws IOException {
+    c.write(FakeServer.ok("first"));
   }
 
   /** What crosses an attempt's end, in the order of the name, and what has to come of it. */
   private enum Ends {
-    CANCEL_THEN_ANSWER(Status.CANCELLED, CrossingTest::answer),
-    CANCEL_THEN_RESET(Status.CANCELLED, StubServer.Connection::reset),
-    ANSWER_THEN_CANCEL(Status.SERVED, CrossingTest::answer),
-    RESET_THEN_CANCEL(Status.RESET, StubServer.Connection::reset),
-    ANSWER_THEN_TIME_OUT(Status.SERVED, CrossingTest::answer),
-    RESET_THEN_TIME_OUT(Status.RESET, StubServer.Connection::reset),
-    TIME_OUT_THEN_ANSWER(Status.TIMEOUT, CrossingTest::answer),
-    TIME_OUT_THEN_RESET(Status.TIMEOUT, StubServer.Connection::reset),
-    ANSWER_THEN_RESET(Status.SERVED, c -> {
+    CANCEL_THEN_ANSWER(AttemptStatus.CANCELLED, EventOrderTest::answer),
+    CANCEL_THEN_RESET(AttemptStatus.CANCELLED, FakeServer.Connection::reset),
+    ANSWER_THEN_CANCEL(AttemptStatus.SUCCESS, EventOrderTest::answer),
+    RESET_THEN_CANCEL(AttemptStatus.RESET, FakeServer.Connection::reset),
+    ANSWER_THEN_TIME_OUT(AttemptStatus.SUCCESS, EventOrderTest::answer),
+    RESET_THEN_TIME_OUT(AttemptStatus.RESET, FakeServer.Connection::reset),
+    TIME_OUT_THEN_ANSWER(AttemptStatus.TIMEOUT, EventOrderTest::answer),
+    TIME_OUT_THEN_RESET(AttemptStatus.TIMEOUT, FakeServer.Connection::reset),
+    ANSWER_THEN_RESET(AttemptStatus.SUCCESS, c -> {
       answer(c);
       c.reset();
     });
 
-    final Status status;
-    final StubServer.Script upstream;
+    final AttemptStatus status;
+    final FakeServer.ScriptedEngine upstream;
 
-    Ends(Status status, StubServer.Script upstream) {
+    Ends(AttemptStatus status, FakeServer.ScriptedEngine upstream) {
       this.status = status;
       this.upstream = upstream;
     }
@@ -131,23 +131,23 @@
   @EnumSource(Ends.class)
   void ofTwoEndsOfAnAttemptTheFirstHolds(Ends ends) throws Exception {
     boolean timed = ends.name().contains("TIME_OUT");
-    Script module = module(timed ? TIMEOUT : TimeUnit.SECONDS.toNanos(30));
-    try (Puppet upstream = new Puppet(); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true,
-        Rig.member("s-1", upstream.server.address(), "ready"))), module); Client client = rig.client();
+    ScriptedEngine module = module(timed ? TIMEOUT : TimeUnit.SECONDS.toNanos(30));
+    try (Puppet upstream = new Puppet(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
+        ProxyFixture.member("s-1", upstream.server.address(), "ready"))), module); Client client = rig.client();
         Client cue = rig.client(); Client second = rig.client()) {
       switch (ends) {
         // Decided while the other is in the kernel, not read yet.
         case CANCEL_THEN_ANSWER, CANCEL_THEN_RESET -> cues.add(out -> {
           upstream.does(ends.upstream);
-          out.accept(new Cancel("r0", 0));
+          out.accept(new CancelAttempt("r0", 0));
         });
         // Both are read before either is told: the cancelling comes with the second cue.
         case ANSWER_THEN_CANCEL, RESET_THEN_CANCEL -> {
           cues.add(out -> {
             upstream.does(ends.upstream);
-            write(second, Rig.get("cue-2", CUE));
+            write(second, ProxyFixture.get("cue-2", CUE));
           });
-          cues.add(out -> out.accept(new Cancel("r0", 0)));
+          cues.add(out -> out.accept(new CancelAttempt("r0", 0)));
         }
         // The time is up as well when the loop goes on, and it looks at its sockets first.
         case ANSWER_THEN_TIME_OUT, RESET_THEN_TIME_OUT -> cues.add(out -> {
@@ -158,26 +158,26 @@
         case TIME_OUT_THEN_ANSWER, TIME_OUT_THEN_RESET -> {
           cues.add(out -> {
             pass(TimeUnit.NANOSECONDS.toMillis(TIMEOUT) + 50);
-            write(second, Rig.get("cue-2", CUE));
+            write(second, ProxyFixture.get("cue-2", CUE));
           });
           cues.add(out -> upstream.does(ends.upstream));
         }
         case ANSWER_THEN_RESET -> cues.add(out -> upstream.does(ends.upstream));
         default -> throw new IllegalStateException();
       }
-      client.write(Rig.get("t", ""));
-      assertNotNull(upstream.server.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
-      cue.ask(Rig.get("cue-1", CUE));
-      Outcome first = module.next(Outcome.class);
+      client.write(ProxyFixture.get("t", ""));
+      assertNotNull(upstream.server.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      cue.ask(ProxyFixture.get("cue-1", CUE));
+      AttemptEnded first = module.next(AttemptEnded.class);
       assertEquals(ends.status, first.status());
       String answer = client.answer();
-      assertTrue(answer.startsWith(ends.status == Status.SERVED ? "HTTP/1.1 200 " : "HTTP/1.1 502 "), answer);
+      assertTrue(answer.startsWith(ends.status == AttemptStatus.SUCCESS ? "HTTP/1.1 200 " : "HTTP/1.1 502 "), answer);
       // And what follows gets its own answer, on whatever connection.
-      client.write(Rig.get("t2", ""));
-      assertNotNull(upstream.server.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
-      upstream.does(c -> c.write(StubServer.ok("second")));
+      client.write(ProxyFixture.get("t2", ""));
+      assertNotNull(upstream.server.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      upstream.does(c -> c.write(FakeServer.ok("second")));
       assertTrue(client.answer().endsWith("\r\n\r\nsecond"), "its own answer");
-      assertNotEquals(first.id(), module.next(Outcome.class).id(), "one outcome an attempt");
+      assertNotEquals(first.requestId(), module.next(AttemptEnded.class).requestId(), "one outcome an attempt");
     }
   }
 
@@ -192,15 +192,15 @@
   /** All of it has left, and all but a byte been read: it may have run, and is not one that could not connect. */
   @Test
   void aResetWithinARequestsLastBytesMayHaveRun() throws Exception {
-    Script module = module(TimeUnit.SECONDS.toNanos(30));
+    ScriptedEngine module = module(TimeUnit.SECONDS.toNanos(30));
     String body = "x".repeat(1000);
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       c.readUntil(body.substring(1));
       c.reset();
-    }); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), module);
+    }); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready"))), module);
         Client client = rig.client()) {
-      assertTrue(client.ask(Rig.post("t", "Idempotency-Key: k\r\n", body)).startsWith("HTTP/1.1 502 "));
-      assertEquals(Status.RESET, module.next(Outcome.class).status());
+      assertTrue(client.ask(ProxyFixture.post("t", "Idempotency-Key: k\r\n", body)).startsWith("HTTP/1.1 502 "));
+      assertEquals(AttemptStatus.RESET, module.next(AttemptEnded.class).status());
       assertEquals(1, upstream.connections.size(), "not sent again");
     }
   }
@@ -211,40 +211,40 @@
   void aConnectionToTheProcessBeforeIsNotUsedForTheNext(String back, String before) throws Exception {
     CountDownLatch restarted = new CountDownLatch(1);
     AtomicInteger connections = new AtomicInteger();
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       // The machine of the first process has vanished after its answer: nothing more comes, not even an end.
       boolean first = connections.incrementAndGet() == 1;
       for (int i = 0; c.next() != null; i++) {
         if (!first || i == 0) {
-          c.write(StubServer.ok(first ? "before" : "next"));
+          c.write(FakeServer.ok(first ? "before" : "next"));
         }
       }
-    }); StubServer discovery = new StubServer(c -> {
+    }); FakeServer discovery = new FakeServer(c -> {
       c.next();
       restarted.await();
-      String now = Rig.member(back, upstream.address(), "ready")
+      String now = ProxyFixture.member(back, upstream.address(), "ready")
           .replace("\"up_since_ms\":0", "\"up_since_ms\":" + System.currentTimeMillis());
-      c.write(Discoveries.watch(Rig.list(2, false,
-          before.equals("ready") ? now : Rig.member("s-1", upstream.address(), before))));
-      c.write(Discoveries.chunk(Rig.list(3, false, now)));
+      c.write(DiscoveryMessages.watch(ProxyFixture.list(2, false,
+          before.equals("ready") ? now : ProxyFixture.member("s-1", upstream.address(), before))));
+      c.write(DiscoveryMessages.chunk(ProxyFixture.list(3, false, now)));
       c.ends();
     })) {
-      Script module = new Script((event, out) -> {
-        if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
-          out.accept(new Watch(true));
-        } else if (event instanceof Request r) {
-          out.accept(new Send(r.id(), Discoveries.number(restarted.getCount() > 0 ? "s-1" : back), 0));
+      ScriptedEngine module = new ScriptedEngine((event, out) -> {
+        if (event instanceof EndpointListUpdate n && n.kind() == UpdateKind.CACHED) {
+          out.accept(new WatchEndpoints(true));
+        } else if (event instanceof RequestArrived r) {
+          out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number(restarted.getCount() > 0 ? "s-1" : back), 0));
         }
       });
-      try (Rig rig = new Rig(Rig.config(discovery.address(),
-          Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), module); Client client = rig.client()) {
-        assertTrue(client.ask(Rig.get("t1", "")).endsWith("\r\n\r\nbefore"));
+      try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(discovery.address(),
+          ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready"))), module); Client client = rig.client()) {
+        assertTrue(client.ask(ProxyFixture.get("t1", "")).endsWith("\r\n\r\nbefore"));
         pass(50); // The connection has rested long enough to be used again.
         restarted.countDown();
-        for (ListKind kind : List.of(ListKind.CACHED, ListKind.DELTA, ListKind.DELTA)) {
-          assertEquals(kind, module.next(ListNews.class).kind());
+        for (UpdateKind kind : List.of(UpdateKind.CACHED, UpdateKind.DELTA, UpdateKind.DELTA)) {
+          assertEquals(kind, module.next(EndpointListUpdate.class).kind());
         }
-        assertTrue(client.ask(Rig.get("t2", "")).endsWith("\r\n\r\nnext"));
+        assertTrue(client.ask(ProxyFixture.get("t2", "")).endsWith("\r\n\r\nnext"));
       }
     }
   }
@@ -253,9 +253,9 @@
   @ParameterizedTest
   @CsvSource({"true", "false"})
   void aReloadAndAStopThatCrossAreBothCarriedOut(boolean stopFirst) throws Exception {
-    Script module = module(TimeUnit.SECONDS.toNanos(30));
-    try (StubServer fresh = new StubServer(StubServer.Connection::ends);
-        Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true), "pushed", 200, 1024, ""), module); Client cue = rig.client();
+    ScriptedEngine module = module(TimeUnit.SECONDS.toNanos(30));
+    try (FakeServer fresh = new FakeServer(FakeServer.Connection::ends);
+        ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true), "pushed", 200, 1024, ""), module); Client cue = rig.client();
         Client other = rig.client()) {
       Thread stop = new Thread(rig.server::stop);
       cues.add(out -> {
@@ -269,16 +269,16 @@
           pass(100);
         }
       });
-      assertTrue(cue.ask(Rig.get("cue", CUE)).startsWith("HTTP/1.1 429 "));
-      assertNotNull(fresh.connections.poll(Rig.LIMIT_S, TimeUnit.SECONDS), "discovery is followed");
+      assertTrue(cue.ask(ProxyFixture.get("cue", CUE)).startsWith("HTTP/1.1 429 "));
+      assertNotNull(fresh.connections.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS), "discovery is followed");
       assertTrue(other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 503 "), "it stops");
-      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
       assertTrue(!stop.isAlive(), "ends");
     }
   }
 
-  private static void reload(Rig rig, StubServer discovery) {
-    rig.server.reload(() -> Rig.config(discovery.address(), Rig.list(1, true)));
+  private static void reload(ProxyFixture rig, FakeServer discovery) {
+    rig.server.reload(() -> ProxyFixture.config(discovery.address(), ProxyFixture.list(1, true)));
   }
 
   /** The old discovery ends the watch in the turn in which the balancer is told of the new one, before or after that. */
@@ -287,27 +287,27 @@
   void theOldDiscoverysCloseCrossesTheReload(boolean closedFirst) throws Exception {
     CountDownLatch close = new CountDownLatch(1);
     CountDownLatch closed = new CountDownLatch(1);
-    String a = Rig.member("s-1", NOWHERE, "ready");
-    Script module = module(0);
-    try (StubServer old = new StubServer(c -> {
+    String a = ProxyFixture.member("s-1", NOWHERE, "ready");
+    ScriptedEngine module = module(0);
+    try (FakeServer old = new FakeServer(c -> {
       c.next();
-      c.write(Discoveries.watch(Rig.list(2, true, a)));
+      c.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, a)));
       close.await();
       c.reset();
       closed.countDown();
-    }); StubServer fresh = new StubServer(c -> {
+    }); FakeServer fresh = new FakeServer(c -> {
       c.next();
-      c.write(Discoveries.watch(Rig.list(3, true, a, Rig.member("s-2", NOWHERE, "draining"))));
+      c.write(DiscoveryMessages.watch(ProxyFixture.list(3, true, a, ProxyFixture.member("s-2", NOWHERE, "draining"))));
       c.ends();
-    }); Rig rig = new Rig(Rig.config(old.address(), Rig.list(1, true, a), "pushed", 200, 1024, ""), module);
+    }); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(old.address(), ProxyFixture.list(1, true, a), "pushed", 200, 1024, ""), module);
         Client cue = rig.client(); Client second = rig.client()) {
-      assertEquals(ListKind.CACHED, module.next(ListNews.class).kind());
-      assertEquals(ListKind.FULL, module.next(ListNews.class).kind());
+      assertEquals(UpdateKind.CACHED, module.next(EndpointListUpdate.class).kind());
+      assertEquals(UpdateKind.FULL, module.next(EndpointListUpdate.class).kind());
       cues.add(out -> {
         if (closedFirst) {
           close.countDown();
           await(closed);
-          write(second, Rig.get("cue-2", CUE)); // Read with the reset; the reload is told of after both.
+          write(second, ProxyFixture.get("cue-2", CUE)); // Read with the reset; the reload is told of after both.
         } else {
           reload(rig, fresh);
           close.countDown();
@@ -317,18 +317,18 @@
       if (closedFirst) {
         cues.add(out -> reload(rig, fresh));
       }
-      cue.ask(Rig.get("cue-1", CUE));
-      ListNews news = module.next(ListNews.class);
-      assertEquals(2, news.entries().size(), "by the new discovery's list");
+      cue.ask(ProxyFixture.get("cue-1", CUE));
+      EndpointListUpdate news = module.next(EndpointListUpdate.class);
+      assertEquals(2, news.endpoints().size(), "by the new discovery's list");
       pass(1000); // More than the wait before the agent is asked again.
       assertEquals(1, fresh.connections.size(), "one watch at the new address");
-      assertNull(module.events.stream().filter(e -> e instanceof ListNews).findFirst().orElse(null));
+      assertNull(module.events.stream().filter(e -> e instanceof EndpointListUpdate).findFirst().orElse(null));
     }
   }
 
   private static void await(CountDownLatch latch) {
     try {
-      assertTrue(latch.await(Rig.LIMIT_S, TimeUnit.SECONDS));
+      assertTrue(latch.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -339,13 +339,13 @@
   void drainsBehindADiscoveryThatIsDownAtTheReloadComeInTime() throws Exception {
     AtomicInteger calls = new AtomicInteger();
     AtomicLong reloadedAt = new AtomicLong();
-    String a = Rig.member("s-1", NOWHERE, "ready");
-    Script module = module(0);
-    try (StubServer old = new StubServer(c -> {
+    String a = ProxyFixture.member("s-1", NOWHERE, "ready");
+    ScriptedEngine module = module(0);
+    try (FakeServer old = new FakeServer(c -> {
       c.next();
-      c.write(Discoveries.watch(Rig.list(2, true, a)));
+      c.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, a)));
       c.ends();
-    }); StubServer fresh = new StubServer(c -> {
+    }); FakeServer fresh = new FakeServer(c -> {
       // Refused as often as it takes for the longest backoff, then mute, and only then there.
       if (calls.incrementAndGet() <= 5) {
         c.reset();
@@ -353,16 +353,16 @@
         c.ends();
       } else {
         c.next();
-        c.write(Discoveries.watch(Rig.list(3, false, a.replace("ready", "draining"))));
+        c.write(DiscoveryMessages.watch(ProxyFixture.list(3, false, a.replace("ready", "draining"))));
         c.ends();
       }
-    }); Rig rig = new Rig(Rig.config(old.address(), Rig.list(1, true, a), "pushed", 200, 1024, ""), module)) {
-      module.next(ListNews.class);
-      assertEquals(ListKind.FULL, module.next(ListNews.class).kind());
+    }); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(old.address(), ProxyFixture.list(1, true, a), "pushed", 200, 1024, ""), module)) {
+      module.next(EndpointListUpdate.class);
+      assertEquals(UpdateKind.FULL, module.next(EndpointListUpdate.class).kind());
       reloadedAt.set(System.nanoTime());
       reload(rig, fresh);
-      ListNews news = module.next(ListNews.class);
-      assertEquals(List.of(State.DRAINING), news.entries().stream().map(e -> e.state()).toList());
+      EndpointListUpdate news = module.next(EndpointListUpdate.class);
+      assertEquals(List.of(EndpointState.DRAINING), news.endpoints().stream().map(e -> e.state()).toList());
       long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reloadedAt.get());
       assertTrue(millis < 3500, "told after " + millis + " ms");
     }
--- a/src/test/java/loadbalancer/serve/StubServer.java
+++ b/src/test/java/loadbalancer/serve/FakeServer.java
@@ -12,13 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /** A server on loopback whose every connection follows a script, byte for byte: an upstream or discovery. */
-final class StubServer implements AutoCloseable {
+final class FakeServer implements AutoCloseable {
 
   /** What a connection does; it is closed when the script returns. */
   interface Script {
@@ -30,7 +30,7 @@
   private final List<Socket> open = new CopyOnWriteArrayList<>();
   private final ServerSocket listener;
 
-  StubServer(Script script) throws IOException {
+  FakeServer(Script script) throws IOException {
     listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     start(() -> {
       while (true) {
@@ -66,8 +66,8 @@
   }
 
   /** Answers every request alike. */
-  static StubServer answering(String answer) throws IOException {
-    return new StubServer(c -> {
+  static FakeServer answering(String answer) throws IOException {
+    return new FakeServer(c -> {
       while (c.next() != null) {
         c.write(answer);
       }
@@ -160,13 +160,13 @@
 
     /** Waits until the script is through: its last read found the end, or it closed. */
     boolean awaitEnd() throws InterruptedException {
-      return over.await(Rig.LIMIT_S, TimeUnit.SECONDS);
+      return over.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS);
     }
 
     /** Waits until the other side closes; false if it says more first, or is still there at the limit. */
     boolean ends() {
       try {
-        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
         return in.read() < 0;
       } catch (SocketTimeoutException e) {
         return false;
--- a/src/test/java/loadbalancer/serve/StopTest.java
+++ b/src/test/java/loadbalancer/serve/GracefulShutdownTest.java
@@ -5,10 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Request;
-import loadbalancer.serve.Rig.Client;
-import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
@@ -16,23 +12,27 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** The end of a balancer, while clients go on sending. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
-class StopTest {
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+class GracefulShutdownTest {
 
   private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
 
-  private static Config config(long deadlineMillis) throws IOException {
-    return Config.parse(Rig.text("127.0.0.1:1", Rig.list(1, true), "on_request", 200, 1024, "")
+  private static BalancerConfig config(long deadlineMillis) throws IOException {
+    return BalancerConfig.parse(ProxyFixture.text("127.0.0.1:1", ProxyFixture.list(1, true), "on_request", 200, 1024, "")
         .replace("\"deadline-ns\":40000000000", "\"deadline-ns\":" + deadlineMillis * 1_000_000), Map.of());
   }
 
-  private static Thread stop(Rig rig) {
+  private static Thread stop(ProxyFixture rig) {
     Thread stop = new Thread(rig.server::stop);
     stop.start();
     rig.server.awaitStopping();
@@ -48,29 +48,29 @@
   }
 
   private static void awaitEnd(Thread stop) throws InterruptedException {
-    stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+    stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
     assertTrue(!stop.isAlive(), "ends");
   }
 
   /** The loop is busy while the request comes, and closes before it looks at its sockets again: that was a reset. */
   @Test
   void aRequestThatIsInTheKernelWhenIdleConnectionsAreClosedIsServed() throws Exception {
-    AtomicReference<Rig> started = new AtomicReference<>();
+    AtomicReference<ProxyFixture> started = new AtomicReference<>();
     AtomicReference<Client> idle = new AtomicReference<>();
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
         if (r.workHintNanos() > 0) {
-          write(idle.get(), Rig.get("crossing", ""));
+          write(idle.get(), ProxyFixture.get("crossing", ""));
           started.get().server.frontend().close();
         }
-        out.accept(new Refuse(r.id(), 0));
+        out.accept(new RejectRequest(r.requestId(), 0));
       }
     });
-    try (Rig rig = new Rig(config(40_000), module); Client client = rig.client(); Client other = rig.client()) {
+    try (ProxyFixture rig = new ProxyFixture(config(40_000), module); Client client = rig.client(); Client other = rig.client()) {
       started.set(rig);
       idle.set(client);
       assertNotNull(client.ask(HEALTH), "open, and then idle");
-      assertTrue(other.ask(Rig.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
+      assertTrue(other.ask(ProxyFixture.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
       String answer = client.answer();
       assertNotNull(answer, "closed over the request");
       assertTrue(answer.startsWith("HTTP/1.1 429 ") && answer.contains("connection: close\r\n"), answer);
@@ -83,8 +83,8 @@
     /** A connection that the machine has accepted, with its request, and the listener closes. */
     ACCEPTED_AT_THE_LISTENERS_CLOSE {
       @Override
-      Client cross(Rig rig, Client open) throws IOException {
-        Client accepted = rig.client().write(Rig.get("crossing", ""));
+      Client cross(ProxyFixture rig, Client open) throws IOException {
+        Client accepted = rig.client().write(ProxyFixture.get("crossing", ""));
         rig.server.frontend().acceptNoMore();
         return accepted;
       }
@@ -92,26 +92,26 @@
     /** A whole request on a connection whose time to send one is up. */
     WHOLE_WHEN_ITS_TIME_IS_UP {
       @Override
-      Client cross(Rig rig, Client open) throws IOException {
-        open.write(Rig.get("crossing", ""));
+      Client cross(ProxyFixture rig, Client open) throws IOException {
+        open.write(ProxyFixture.get("crossing", ""));
         rig.server.frontend().end();
         return open;
       }
     };
 
     /** Runs on the event loop; the client whose request crosses. {@code open} has not sent anything. */
-    abstract Client cross(Rig rig, Client open) throws IOException;
+    abstract Client cross(ProxyFixture rig, Client open) throws IOException;
   }
 
   /** It was a reset, or an error. */
   @ParameterizedTest
   @EnumSource(Crossing.class)
   void aRequestThatIsInTheKernelIsAnswered(Crossing crossing) throws Exception {
-    AtomicReference<Rig> started = new AtomicReference<>();
+    AtomicReference<ProxyFixture> started = new AtomicReference<>();
     AtomicReference<Client> open = new AtomicReference<>();
     CompletableFuture<Client> crossed = new CompletableFuture<>();
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
         if (r.workHintNanos() > 0) {
           try {
             crossed.complete(crossing.cross(started.get(), open.get()));
@@ -119,14 +119,14 @@
             crossed.completeExceptionally(e);
           }
         }
-        out.accept(new Refuse(r.id(), 0));
+        out.accept(new RejectRequest(r.requestId(), 0));
       }
     });
-    try (Rig rig = new Rig(config(40_000), module); Client client = rig.client(); Client other = rig.client()) {
+    try (ProxyFixture rig = new ProxyFixture(config(40_000), module); Client client = rig.client(); Client other = rig.client()) {
       started.set(rig);
       open.set(client);
-      assertTrue(other.ask(Rig.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
-      try (Client found = crossed.get(Rig.LIMIT_S, TimeUnit.SECONDS)) {
+      assertTrue(other.ask(ProxyFixture.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
+      try (Client found = crossed.get(ProxyFixture.LIMIT_S, TimeUnit.SECONDS)) {
         String answer = found.answer();
         assertNotNull(answer, "closed over the request");
         assertTrue(answer.startsWith("HTTP/1.1 429 "), answer);
@@ -138,9 +138,9 @@
   @Test
   void aLoopThatIsHeldUpAtTheEndStillAnswersBeforeSigkill() throws Exception {
     long deadlineMillis = 300;
-    Config config = config(deadlineMillis);
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r && r.workHintNanos() > 0) {
+    BalancerConfig config = config(deadlineMillis);
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r && r.workHintNanos() > 0) {
         try {
           Thread.sleep(450); // The time itself is what is tested.
         } catch (InterruptedException e) {
@@ -148,16 +148,16 @@
         }
       }
     });
-    try (Rig rig = new Rig(config, module); Client busy = rig.client(); Client waiting = rig.client();
+    try (ProxyFixture rig = new ProxyFixture(config, module); Client busy = rig.client(); Client waiting = rig.client();
         Client late = rig.client()) {
       assertNotNull(late.ask(HEALTH));
       long from = System.nanoTime();
       Thread stop = stop(rig);
-      Thread.sleep(Server.stopMillis(config.settings()) - 60);
-      waiting.write(Rig.get("held", ""));
-      busy.write(Rig.get("hold", "X-Size-Hint: 7\r\n"));
+      Thread.sleep(ProxyServer.stopMillis(config.settings()) - 60);
+      waiting.write(ProxyFixture.get("held", ""));
+      busy.write(ProxyFixture.get("hold", "X-Size-Hint: 7\r\n"));
       Thread.sleep(50);
-      late.write(Rig.get("unread", ""));
+      late.write(ProxyFixture.get("unread", ""));
       for (Client client : List.of(waiting, busy, late)) {
         assertTrue(client.answer().startsWith("HTTP/1.1 50"), "a whole answer");
       }
@@ -170,16 +170,16 @@
   /** New connections come for up to 0.4 s. Where the longest deadline was 0.3 s the process ended before that. */
   @Test
   void newConnectionsAreTakenAsLongWhereDeadlinesAreShort() throws Exception {
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
-        out.accept(new Refuse(r.id(), 0));
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
+        out.accept(new RejectRequest(r.requestId(), 0));
       }
     });
-    try (Rig rig = new Rig(config(300), module)) {
+    try (ProxyFixture rig = new ProxyFixture(config(300), module)) {
       Thread stop = stop(rig);
       Thread.sleep(400); // The time itself is what is tested.
       try (Client late = rig.client()) {
-        assertTrue(late.ask(Rig.get("t", "")).startsWith("HTTP/1.1 429 "));
+        assertTrue(late.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 429 "));
       }
       awaitEnd(stop);
     }
@@ -188,10 +188,10 @@
   /** Held to the end: what is in hand is answered, what waits behind it is refused, and half a request is told so. */
   @Test
   void allIsAnsweredBeforeTheEnd() throws Exception {
-    Script module = new Script((event, out) -> { });
-    try (Rig rig = new Rig(config(40_000), module); Client client = rig.client(); Client slow = rig.client()) {
-      client.write(Rig.get("t1", "") + Rig.get("t2", ""));
-      assertEquals("r0", module.next(Request.class).id());
+    ScriptedEngine module = new ScriptedEngine((event, out) -> { });
+    try (ProxyFixture rig = new ProxyFixture(config(40_000), module); Client client = rig.client(); Client slow = rig.client()) {
+      client.write(ProxyFixture.get("t1", "") + ProxyFixture.get("t2", ""));
+      assertEquals("r0", module.next(RequestArrived.class).requestId());
       Thread stop = stop(rig);
       assertNotNull(slow.ask(HEALTH));
       Thread.sleep(1700); // Begun before idle connections are closed, and late enough that it is not overdue by itself.
--- a/src/test/java/loadbalancer/serve/ReuseTest.java
+++ b/src/test/java/loadbalancer/serve/IdleReusePolicyTest.java
@@ -3,13 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.serve.Rig.Client;
-import loadbalancer.serve.Rig.Script;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-class ReuseTest {
+class IdleReusePolicyTest {
 
   private static final long SECOND = TimeUnit.SECONDS.toNanos(1);
   private static final long YOUNG = TimeUnit.MILLISECONDS.toNanos(100);
@@ -18,7 +18,7 @@
 
   @Test
   void whatBreaksAtAnAgeIsNotUsedAtThatAgeNorBeyond() {
-    Reuse reuse = new Reuse();
+    IdleReusePolicy reuse = new IdleReusePolicy();
     for (int i = 0; i < 3; i++) {
       assertTrue(reuse.holds(0, OLD), "too few to tell");
       reuse.used(0, OLD, true);
@@ -30,7 +30,7 @@
 
   @Test
   void aFewThatBreakAmongManyThatHoldAreNotTheirAge() {
-    Reuse reuse = new Reuse();
+    IdleReusePolicy reuse = new IdleReusePolicy();
     for (int i = 0; i < 40; i++) {
       reuse.used(0, OLD, i % 10 == 0);
     }
@@ -39,7 +39,7 @@
 
   @Test
   void itIsTriedAgainInTime() {
-    Reuse reuse = new Reuse();
+    IdleReusePolicy reuse = new IdleReusePolicy();
     for (int i = 0; i < 5; i++) {
       reuse.used(0, OLD, true);
     }
@@ -49,18 +49,18 @@
 
   /** An upstream that forgets its connections as soon as they stand idle: most of what is asked is still served. */
   @Test
-  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
   void connectionsThatBreakWhenUsedAgainAreNotUsedAgain() throws Exception {
     int asked = 400;
     int broken = 0;
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       c.next();
-      c.write(StubServer.ok("ok"));
+      c.write(FakeServer.ok("ok"));
       c.next();
-    }); Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))),
-        new Script(TimeUnit.SECONDS.toNanos(30))); Client client = rig.client()) {
+    }); ProxyFixture rig = new ProxyFixture(ProxyFixture.config("127.0.0.1:1", ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready"))),
+        new ScriptedEngine(TimeUnit.SECONDS.toNanos(30))); Client client = rig.client()) {
       for (int i = 0; i < asked; i++) {
-        broken += client.ask(Rig.get("t" + i, "")).startsWith("HTTP/1.1 200 ") ? 0 : 1;
+        broken += client.ask(ProxyFixture.get("t" + i, "")).startsWith("HTTP/1.1 200 ") ? 0 : 1;
       }
     }
     assertTrue(broken < asked / 10, broken + " of " + asked + " broke");
--- a/src/test/java/loadbalancer/serve/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/serve/LargeFleetIT.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The program as it is deployed, at its limits of memory and descriptors, in a large fleet. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
 class LargeFleetIT {
 
   private static final int MANY = 1024;
@@ -65,20 +65,20 @@
   }
 
   private static String ask(Socket client, String text) throws IOException {
-    client.setSoTimeout(Rig.LIMIT_S * 1000);
+    client.setSoTimeout(ProxyFixture.LIMIT_S * 1000);
     client.getOutputStream().write(text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
-    return StubServer.Message.read(client.getInputStream());
+    return FakeServer.Message.read(client.getInputStream());
   }
 
   private static String askAnew(int port, String id) throws IOException {
     try (Socket client = new Socket("127.0.0.1", port)) {
-      return ask(client, Rig.get(id, "Cookie: sid=" + id + "\r\n"));
+      return ask(client, ProxyFixture.get(id, "Cookie: sid=" + id + "\r\n"));
     }
   }
 
   /** Of many upstreams only the one is ready. */
   private static String list(int revision, int ready, String address) {
-    return Rig.list(revision, true, IntStream.range(0, MANY).mapToObj(i -> Rig.member("upstream-with-a-long-name-" + i,
+    return ProxyFixture.list(revision, true, IntStream.range(0, MANY).mapToObj(i -> ProxyFixture.member("upstream-with-a-long-name-" + i,
         i == ready ? address : "127.0.0.1:1", i == ready ? "ready" : "draining")).toArray(String[]::new));
   }
 
@@ -90,17 +90,17 @@
   @Test
   void aThousandUpstreamsAndBalancersAreTakenWhole() throws Exception {
     CountDownLatch moved = new CountDownLatch(1);
-    try (StubServer first = StubServer.answering(StubServer.ok("first")); StubServer last = StubServer.answering(StubServer.ok("last"));
-        StubServer discovery = new StubServer(c -> {
+    try (FakeServer first = FakeServer.answering(FakeServer.ok("first")); FakeServer last = FakeServer.answering(FakeServer.ok("last"));
+        FakeServer discovery = new FakeServer(c -> {
           c.next();
-          c.write(Discoveries.watch(indented(list(42, MANY - 1, last.address()))));
+          c.write(DiscoveryMessages.watch(indented(list(42, MANY - 1, last.address()))));
           moved.await();
-          c.write(Discoveries.chunk(indented(list(43, 0, first.address()))));
+          c.write(DiscoveryMessages.chunk(indented(list(43, 0, first.address()))));
           c.ends();
         })) {
       String peers = "\"peers\":[" + IntStream.range(0, MANY).mapToObj(i -> "\"127.0." + i / 250 + "." + (i % 250 + 1) + ":7946\"")
           .collect(Collectors.joining(",")) + "],";
-      String config = Rig.text(discovery.address(), list(41, MANY / 2, "127.0.0.1:1"), "pushed", 200, MANY, peers)
+      String config = ProxyFixture.text(discovery.address(), list(41, MANY / 2, "127.0.0.1:1"), "pushed", 200, MANY, peers)
           .replace("\"memory_mb\":192", "\"memory_mb\":32")
           .replace("\"me\":0", "\"me\":" + (MANY - 1) + ",\"group-size\":" + MANY);
       int port = start(config, MANY);
@@ -125,27 +125,27 @@
     AtomicBoolean up = new AtomicBoolean();
     CountDownLatch cue = new CountDownLatch(1);
     List<Socket> idle = new ArrayList<>();
-    try (StubServer slow = new StubServer(c -> {
+    try (FakeServer slow = new FakeServer(c -> {
       while (c.next() != null) {
         cue.await();
-        c.write(StubServer.ok("slow"));
+        c.write(FakeServer.ok("slow"));
       }
-    }); StubServer known = StubServer.answering(StubServer.ok("known")); StubServer told = StubServer.answering(StubServer.ok("told"));
-        StubServer discovery = new StubServer(c -> {
+    }); FakeServer known = FakeServer.answering(FakeServer.ok("known")); FakeServer told = FakeServer.answering(FakeServer.ok("told"));
+        FakeServer discovery = new FakeServer(c -> {
           if (!up.get()) {
             c.reset();
           }
           c.next();
-          c.write(Discoveries.watch(Rig.list(42, true, Rig.member("s-told", told.address(), "ready"))));
+          c.write(DiscoveryMessages.watch(ProxyFixture.list(42, true, ProxyFixture.member("s-told", told.address(), "ready"))));
           c.ends();
         })) {
-      int port = start(Rig.text(discovery.address(), Rig.list(41, true, Rig.member("s-slow", slow.address(), "ready"),
-          Rig.member("s-known", known.address(), "ready")), "pushed", 200, 256, ""), 256);
+      int port = start(ProxyFixture.text(discovery.address(), ProxyFixture.list(41, true, ProxyFixture.member("s-slow", slow.address(), "ready"),
+          ProxyFixture.member("s-known", known.address(), "ready")), "pushed", 200, 256, ""), 256);
       // Both upstreams get requests until one of them waits at the slow one.
       List<Socket> open = new ArrayList<>();
       while (slow.requests.isEmpty()) {
         Socket client = new Socket("127.0.0.1", port);
-        client.getOutputStream().write(Rig.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n").getBytes());
+        client.getOutputStream().write(ProxyFixture.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n").getBytes());
         open.add(client);
         Thread.sleep(20);
       }
@@ -169,8 +169,8 @@
       }
       cue.countDown();
       for (Socket client : open) {
-        client.setSoTimeout(Rig.LIMIT_S * 1000);
-        String answer = StubServer.Message.read(client.getInputStream());
+        client.setSoTimeout(ProxyFixture.LIMIT_S * 1000);
+        String answer = FakeServer.Message.read(client.getInputStream());
         assertTrue(answer.endsWith("slow") || answer.endsWith("known") || answer.startsWith("HTTP/1.1 429 "), answer);
         client.close();
       }
--- a/src/test/java/loadbalancer/serve/ClientTest.java
+++ b/src/test/java/loadbalancer/serve/MisbehavingClientTest.java
@@ -5,27 +5,27 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.serve.Rig.Client;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.serve.ProxyFixture.Client;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Clients that send what can't be used, or nothing: each gets an error or a close, and no one else notices. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
-class ClientTest {
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+class MisbehavingClientTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
   private static final String TENANTS = "\"projects\":[{\"name\":\"acme\",\"portion\":1.0,\"quota-per-s\":100000.0}],";
 
-  private static Config one(StubServer upstream, int sockets) throws IOException {
-    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")), "on_request", 200,
+  private static BalancerConfig one(FakeServer upstream, int sockets) throws IOException {
+    return ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 200,
         sockets, "");
   }
 
@@ -43,16 +43,16 @@
     "POST /api HTTP/1.1~Transfer-Encoding: chunked~~zz~~ | 400",
     "nonsense~~ | 400"})
   void whatCannotBeReadEndsTheConnection(String bad, int status) throws Exception {
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream, 1024));
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream, 1024));
         Client client = rig.client()) {
       String head = "X-Trace-Id: bad~X-Qos: keyed~Idempotency-Key: k~";
       String text = bad.trim().replaceFirst("HTTP/1.1~", "HTTP/1.1~" + head).replace("~", "\r\n");
-      client.write(text + Rig.get("hidden", ""));
+      client.write(text + ProxyFixture.get("hidden", ""));
       String answer = client.answer();
       assertTrue(answer.startsWith("HTTP/1.1 " + status + " ") && answer.contains("connection: close\r\n"), answer);
       assertNull(client.answer());
       try (Client good = rig.client()) {
-        assertTrue(good.ask(Rig.get("good", "")).startsWith("HTTP/1.1 200 "));
+        assertTrue(good.ask(ProxyFixture.get("good", "")).startsWith("HTTP/1.1 200 "));
       }
       assertTrue(upstream.requests.take().contains("X-Trace-Id: good\r\n"));
       assertNull(upstream.requests.poll());
@@ -63,14 +63,14 @@
   @Test
   void anErrorWaitsForItsTurn() throws Exception {
     CountDownLatch bad = new CountDownLatch(1);
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       c.next();
       bad.await();
-      c.write(StubServer.ok("first"));
+      c.write(FakeServer.ok("first"));
       c.ends();
-    }); Rig rig = new Rig(one(upstream, 1024)); Client client = rig.client()) {
-      client.write(Rig.get("t", ""));
-      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+    }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
       client.write("POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 65537\r\n\r\n");
       bad.countDown();
       assertTrue(client.answer().endsWith("\r\n\r\nfirst"));
@@ -83,15 +83,15 @@
   @Test
   void hundredsOfRequestsAtOnceAreCutOff() throws Exception {
     CountDownLatch done = new CountDownLatch(1);
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       for (String r = c.next(); r != null; r = c.next()) {
         done.await();
-        c.write(StubServer.ok("x"));
+        c.write(FakeServer.ok("x"));
       }
-    }); Rig rig = new Rig(one(upstream, 1024)); Client client = rig.client(); Client other = rig.client()) {
+    }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client(); Client other = rig.client()) {
       StringBuilder many = new StringBuilder();
       for (int i = 0; i < 500; i++) {
-        many.append(Rig.get("t" + i, ""));
+        many.append(ProxyFixture.get("t" + i, ""));
       }
       client.write(many.toString());
       for (int i = 0; i < 200; i++) {
@@ -113,29 +113,29 @@
   @Test
   void theIdOfARequestInHandIsAConflict() throws Exception {
     CountDownLatch done = new CountDownLatch(1);
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       while (c.next() != null) {
         done.await();
-        c.write(StubServer.ok("x"));
+        c.write(FakeServer.ok("x"));
       }
-    }); Rig rig = new Rig(one(upstream, 1024)); Client client = rig.client(); Client thief = rig.client()) {
-      client.write(Rig.get("t", ""));
-      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
-      assertTrue(thief.ask(Rig.get("t", "")).startsWith("HTTP/1.1 409 "));
+    }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client(); Client thief = rig.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertTrue(thief.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 409 "));
       done.countDown();
       assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
-      assertTrue(thief.ask(Rig.get("t", "")).startsWith("HTTP/1.1 200 "), "free again");
+      assertTrue(thief.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 200 "), "free again");
       assertEquals(2, upstream.requests.size() + 1);
     }
   }
 
   @Test
   void anUnknownTenantAndAnEndlessNameAreErrors() throws Exception {
-    Config config = Config.parse(Rig.text(NOWHERE, Rig.list(1, true), "on_request", 200, 1024, "")
+    BalancerConfig config = BalancerConfig.parse(ProxyFixture.text(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 1024, "")
         .replace("\"settings\":{", "\"settings\":{" + TENANTS), Map.of());
-    try (Rig rig = new Rig(config); Client client = rig.client()) {
-      assertTrue(client.ask(Rig.get("t", "X-Customer: nobody\r\n")).startsWith("HTTP/1.1 400 "));
-      assertTrue(client.ask(Rig.get("t".repeat(1000), "X-Customer: acme\r\n")).startsWith("HTTP/1.1 400 "));
+    try (ProxyFixture rig = new ProxyFixture(config); Client client = rig.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t", "X-Customer: nobody\r\n")).startsWith("HTTP/1.1 400 "));
+      assertTrue(client.ask(ProxyFixture.get("t".repeat(1000), "X-Customer: acme\r\n")).startsWith("HTTP/1.1 400 "));
     }
   }
 
@@ -144,7 +144,7 @@
   @CsvSource(delimiter = '|', value = {"'' | ''", "GET /api HT | HTTP/1.1 408 ",
     "POST /api HTTP/1.1~X-Trace-Id: t~Content-Length: 5~~half | HTTP/1.1 408 "})
   void withoutAWholeRequestAConnectionEnds(String part, String answer) throws Exception {
-    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true))); Client client = rig.client()) {
+    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true))); Client client = rig.client()) {
       client.write(part.replace("~", "\r\n"));
       String got = client.answer();
       assertTrue(answer.isEmpty() ? got == null : got.startsWith(answer), got);
@@ -157,16 +157,16 @@
   void atTheLimitClientsThatNeverAskedGoFirst() throws Exception {
     CountDownLatch done = new CountDownLatch(1);
     List<Client> silent = new ArrayList<>();
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       c.next();
       done.await();
-      c.write(StubServer.ok("x"));
+      c.write(FakeServer.ok("x"));
       c.ends();
-    }); Rig rig = new Rig(one(upstream, 72)); Client served = rig.client(); Client idle = rig.client()) {
+    }); ProxyFixture rig = new ProxyFixture(one(upstream, 72)); Client served = rig.client(); Client idle = rig.client()) {
       String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
       assertTrue(idle.ask(health).startsWith("HTTP/1.1 200 "));
-      served.write(Rig.get("t", ""));
-      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      served.write(ProxyFixture.get("t", ""));
+      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
       for (int i = 0; i < 60; i++) {
         silent.add(rig.client());
       }
@@ -184,9 +184,9 @@
   /** Guards the memory: who comes too late with a body is told so; the connection was closed without a word. */
   @Test
   void aBodyForWhichThereIsNoRoomIsAnError() throws Exception {
-    String text = Rig.text(NOWHERE, Rig.list(1, true), "on_request", 200, 1024, "").replace("\"memory_mb\":192", "\"memory_mb\":1");
-    try (Rig rig = new Rig(Config.parse(text, Map.of())); Client first = rig.client(); Client late = rig.client()) {
-      String half = Rig.post("t", "Idempotency-Key: k\r\n", "x".repeat(60_000)).substring(0, 40_000);
+    String text = ProxyFixture.text(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 1024, "").replace("\"memory_mb\":192", "\"memory_mb\":1");
+    try (ProxyFixture rig = new ProxyFixture(BalancerConfig.parse(text, Map.of())); Client first = rig.client(); Client late = rig.client()) {
+      String half = ProxyFixture.post("t", "Idempotency-Key: k\r\n", "x".repeat(60_000)).substring(0, 40_000);
       first.write(half);
       try (Client other = rig.client()) {
         other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/src/test/java/loadbalancer/serve/Rig.java
+++ b/src/test/java/loadbalancer/serve/ProxyFixture.java
@@ -2,14 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
-import loadbalancer.Balancer;
-import loadbalancer.Balancer.Action;
-import loadbalancer.Balancer.Event;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Logic;
 import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -24,9 +16,19 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import loadbalancer.DecisionEngine;
+import loadbalancer.DecisionEngine.Action;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.Event;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.LoadBalancingEngine;
 
 /** A balancer on ephemeral loopback ports, with its decisions scripted or real, and clients for it. */
-final class Rig implements AutoCloseable {
+final class ProxyFixture implements AutoCloseable {
 
   /** A generous limit for what has to happen: no test passes by its running out. */
   static final int LIMIT_S = 60;
@@ -35,7 +37,7 @@
       + "\"window-ns\":2000000000,\"aim-ns\":20000000000,\"deadline-ns\":40000000000}";
 
   /** A module that follows a script and keeps what it was told. */
-  static final class Script implements Balancer {
+  static final class ScriptedEngine implements DecisionEngine {
 
     interface Step {
       void on(Event event, Consumer<Action> out);
@@ -45,25 +47,25 @@
     final List<Long> upstreams = new ArrayList<>();
     private final Step step;
 
-    Script(Step step) {
+    ScriptedEngine(Step step) {
       this.step = step;
     }
 
     /** Sends every request to the first upstream and fails it when that does not serve it. */
-    Script(long timeoutNanos) {
+    ScriptedEngine(long timeoutNanos) {
       this.step = (event, out) -> {
-        if (event instanceof Request r) {
-          out.accept(new Send(r.id(), upstreams.get(0), timeoutNanos));
-        } else if (event instanceof Outcome o && !o.finished()) {
-          out.accept(new Fail(o.id()));
+        if (event instanceof RequestArrived r) {
+          out.accept(new StartAttempt(r.requestId(), upstreams.get(0), timeoutNanos));
+        } else if (event instanceof AttemptEnded o && !o.finished()) {
+          out.accept(new FailRequest(o.requestId()));
         }
       };
     }
 
     @Override
     public void handle(long nowNanos, Event event, Consumer<Action> out) {
-      if (event instanceof ListNews news) {
-        news.entries().stream().map(Listed::upstream).filter(u -> !upstreams.contains(u)).forEach(upstreams::add);
+      if (event instanceof EndpointListUpdate news) {
+        news.endpoints().stream().map(Endpoint::id).filter(u -> !upstreams.contains(u)).forEach(upstreams::add);
       }
       events.add(event);
       step.on(event, out);
@@ -87,7 +89,7 @@
     final Socket socket;
     private final InputStream in;
 
-    Client(Server server) throws IOException {
+    Client(ProxyServer server) throws IOException {
       socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
       socket.setSoTimeout(LIMIT_S * 1000);
       in = new BufferedInputStream(socket.getInputStream());
@@ -102,7 +104,7 @@
 
     /** The next answer; null once the balancer has closed. */
     String answer() throws IOException {
-      return StubServer.Message.read(in);
+      return FakeServer.Message.read(in);
     }
 
     String ask(String text) throws IOException {
@@ -115,15 +117,15 @@
     }
   }
 
-  final Server server;
+  final ProxyServer server;
 
-  Rig(Config config, Balancer module) throws IOException {
-    server = Server.prepare(config, n -> module, 0);
+  ProxyFixture(BalancerConfig config, DecisionEngine module) throws IOException {
+    server = ProxyServer.prepare(config, n -> module, 0);
     server.listen();
   }
 
-  Rig(Config config) {
-    server = Server.prepare(config, n -> new Logic(config.settings(), config.seed() + n), 0);
+  ProxyFixture(BalancerConfig config) {
+    server = ProxyServer.prepare(config, n -> new LoadBalancingEngine(config.settings(), config.seed() + n), 0);
     server.listen();
   }
 
@@ -156,13 +158,13 @@
         + "]}";
   }
 
-  static Config config(String discovery, String known) throws IOException {
+  static BalancerConfig config(String discovery, String known) throws IOException {
     return config(discovery, known, "on_request", 200, 1024, "");
   }
 
-  static Config config(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more)
+  static BalancerConfig config(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more)
       throws IOException {
-    return Config.parse(text(discovery, known, mode, connectTimeoutMillis, sockets, more), Map.of());
+    return BalancerConfig.parse(text(discovery, known, mode, connectTimeoutMillis, sockets, more), Map.of());
   }
 
   static String text(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more) {
--- a/src/test/java/loadbalancer/serve/ServeTest.java
+++ b/src/test/java/loadbalancer/serve/ProxyTest.java
@@ -4,18 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.ClientGone;
-import loadbalancer.Balancer.Fail;
-import loadbalancer.Balancer.Outcome;
-import loadbalancer.Balancer.PeerMessage;
-import loadbalancer.Balancer.Refuse;
-import loadbalancer.Balancer.Request;
-import loadbalancer.Balancer.Send;
-import loadbalancer.Balancer.TellPeer;
-import loadbalancer.Balancer.TimerFired;
-import loadbalancer.Balancer.SetTimer;
-import loadbalancer.serve.Rig.Client;
-import loadbalancer.serve.Rig.Script;
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
@@ -24,32 +12,44 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.DecisionEngine.AttemptEnded;
+import loadbalancer.DecisionEngine.ClientDisconnected;
+import loadbalancer.DecisionEngine.FailRequest;
+import loadbalancer.DecisionEngine.GossipReceived;
+import loadbalancer.DecisionEngine.RejectRequest;
+import loadbalancer.DecisionEngine.RequestArrived;
+import loadbalancer.DecisionEngine.SendGossip;
+import loadbalancer.DecisionEngine.SetTimer;
+import loadbalancer.DecisionEngine.StartAttempt;
+import loadbalancer.DecisionEngine.TimerFired;
+import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a client sees, over real connections. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
-class ServeTest {
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+class ProxyTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
 
-  private static Config one(StubServer upstream) throws IOException {
-    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")));
+  private static BalancerConfig one(FakeServer upstream) throws IOException {
+    return ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")));
   }
 
   @Test
   void requestsGoOnUnchangedOverOneConnection() throws Exception {
-    try (StubServer upstream = StubServer.answering(StubServer.ok("an answer"));
-        Rig rig = new Rig(one(upstream)); Client client = rig.client()) {
-      String answer = client.ask(Rig.get("t1", "X-Expires-In-Ms: 30000\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"));
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("an answer"));
+        ProxyFixture rig = new ProxyFixture(one(upstream)); Client client = rig.client()) {
+      String answer = client.ask(ProxyFixture.get("t1", "X-Expires-In-Ms: 30000\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"));
       assertTrue(answer.startsWith("HTTP/1.1 200 OK\r\n") && answer.endsWith("\r\n\r\nan answer"), answer);
       String got = upstream.requests.take();
       assertTrue(got.startsWith("GET /api?q=1 HTTP/1.1\r\n"), got);
       assertTrue(got.contains("X-Trace-Id: t1\r\n") && !got.contains("X-Hop"), got);
       assertTrue(got.matches("(?s).*X-Expires-In-Ms: 29\\d{3}\r\n.*"), "tells how long it waits: " + got);
-      answer = client.ask(Rig.post("t2", "Idempotency-Key: k2\r\nX-Expires-In-Ms: 30000\r\n", "a body"));
+      answer = client.ask(ProxyFixture.post("t2", "Idempotency-Key: k2\r\nX-Expires-In-Ms: 30000\r\n", "a body"));
       assertTrue(answer.startsWith("HTTP/1.1 200 OK\r\n"), answer);
       got = upstream.requests.take();
       assertTrue(got.startsWith("POST /api HTTP/1.1\r\n") && got.contains("Idempotency-Key: k2\r\n")
@@ -57,7 +57,7 @@
       // It is used again after a rest: asked often enough, a request comes on a connection that is there already.
       for (int before = -1; before != upstream.connections.size();) {
         before = upstream.connections.size();
-        client.ask(Rig.get("again" + before, ""));
+        client.ask(ProxyFixture.get("again" + before, ""));
       }
     }
   }
@@ -75,13 +75,13 @@
     "PUT /api HTTP/1.1~X-Trace-Id: t~X-Qos: safe~Content-Length: 0~~ | 405",
     "POST /api HTTP/1.1~X-Trace-Id: t~X-Qos: keyed~Idempotency-Key: k~Content-Length: 65537~~ | 413"})
   void badInputIsAnsweredAndReachesNoUpstream(String request, int status) throws Exception {
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream))) {
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream))) {
       try (Client client = rig.client()) {
         String answer = client.ask(request.trim().replace("~", "\r\n"));
         assertTrue(answer.startsWith("HTTP/1.1 " + status + " "), answer);
       }
       try (Client client = rig.client()) {
-        assertTrue(client.ask(Rig.get("good", "")).startsWith("HTTP/1.1 200 "), "still serves");
+        assertTrue(client.ask(ProxyFixture.get("good", "")).startsWith("HTTP/1.1 200 "), "still serves");
       }
       assertTrue(upstream.requests.take().contains("X-Trace-Id: good\r\n"));
       assertNull(upstream.requests.poll());
@@ -90,10 +90,10 @@
 
   @Test
   void aBodyOfTheLargestSizePasses() throws Exception {
-    String body = "b".repeat(Frontend.MOST_BODY);
-    try (StubServer upstream = StubServer.answering(StubServer.ok(body));
-        Rig rig = new Rig(one(upstream)); Client client = rig.client()) {
-      String answer = client.ask(Rig.post("t", "Idempotency-Key: k\r\n", body));
+    String body = "b".repeat(DownstreamListener.MOST_BODY);
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok(body));
+        ProxyFixture rig = new ProxyFixture(one(upstream)); Client client = rig.client()) {
+      String answer = client.ask(ProxyFixture.post("t", "Idempotency-Key: k\r\n", body));
       assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("\r\n\r\n" + body));
       assertTrue(upstream.requests.take().endsWith("\r\n\r\n" + body));
     }
@@ -102,82 +102,82 @@
   @Test
   void healthTellsWhetherItCanServe() throws Exception {
     String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream));
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream));
         Client client = rig.client()) {
       assertTrue(client.ask(health).startsWith("HTTP/1.1 200 "));
     }
-    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true))); Client client = rig.client()) {
+    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true))); Client client = rig.client()) {
       assertTrue(client.ask(health).startsWith("HTTP/1.1 503 "), "no upstream is known");
     }
   }
 
   @Test
   void aRefusalSaysWhenToComeBackAndGoesOutAtOnce() throws Exception {
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
-        out.accept(new Refuse(r.id(), 250_000_001));
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
+        out.accept(new RejectRequest(r.requestId(), 250_000_001));
       }
     });
-    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client client = rig.client()) {
-      String answer = client.ask(Rig.get("t", ""));
+    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true)), module); Client client = rig.client()) {
+      String answer = client.ask(ProxyFixture.get("t", ""));
       assertTrue(answer.startsWith("HTTP/1.1 429 ") && answer.contains("retry-after: 0.251\r\n"), answer);
     }
   }
 
   @Test
   void theModuleIsToldWhatTheHeadersSay() throws Exception {
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r) {
-        out.accept(new Fail(r.id()));
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r) {
+        out.accept(new FailRequest(r.requestId()));
       }
     });
-    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client client = rig.client()) {
-      String answer = client.ask(Rig.get("t", "X-Customer: acme\r\nCookie: a=b; sid=7f3a\r\nX-Size-Hint: 1500\r\n"
+    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true)), module); Client client = rig.client()) {
+      String answer = client.ask(ProxyFixture.get("t", "X-Customer: acme\r\nCookie: a=b; sid=7f3a\r\nX-Size-Hint: 1500\r\n"
           + "X-Second-Try: 1\r\nX-Expires-In-Ms: 480\r\n"));
       assertTrue(answer.startsWith("HTTP/1.1 502 "), answer);
-      Request r = module.next(Request.class);
+      RequestArrived r = module.next(RequestArrived.class);
       assertEquals("safe acme 7f3a 1500000 true",
-          r.className() + " " + r.tenant() + " " + r.key() + " " + r.workHintNanos() + " " + r.retry());
+          r.className() + " " + r.tenant() + " " + r.affinityKey() + " " + r.workHintNanos() + " " + r.retry());
     }
   }
 
   @Test
   void aRequestThatTheModuleForgetsIsAnsweredBeforeItsDeadline() throws Exception {
-    Script module = new Script((event, out) -> { });
-    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client client = rig.client()) {
-      assertTrue(client.ask(Rig.get("t", "X-Expires-In-Ms: 300\r\n")).startsWith("HTTP/1.1 504 "));
-      assertEquals(module.next(Request.class).id(), module.next(ClientGone.class).id(), "the module lets go of it");
+    ScriptedEngine module = new ScriptedEngine((event, out) -> { });
+    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true)), module); Client client = rig.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t", "X-Expires-In-Ms: 300\r\n")).startsWith("HTTP/1.1 504 "));
+      assertEquals(module.next(RequestArrived.class).requestId(), module.next(ClientDisconnected.class).requestId(), "the module lets go of it");
     }
   }
 
   @Test
   void anExceptionInTheModuleAnswersWhatIsHeldAndServesOn() throws Exception {
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r && r.tenant() != null) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r && r.tenant() != null) {
         if (r.tenant().equals("bad")) {
           throw new IllegalStateException("on purpose: this trace belongs to a test");
         }
-        out.accept(new Refuse(r.id(), 0));
+        out.accept(new RejectRequest(r.requestId(), 0));
       }
     });
-    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client held = rig.client();
+    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true)), module); Client held = rig.client();
         Client bad = rig.client()) {
-      held.write(Rig.get("held", ""));
-      module.next(Request.class);
-      assertTrue(bad.ask(Rig.get("t", "X-Customer: bad\r\n")).startsWith("HTTP/1.1 500 "));
+      held.write(ProxyFixture.get("held", ""));
+      module.next(RequestArrived.class);
+      assertTrue(bad.ask(ProxyFixture.get("t", "X-Customer: bad\r\n")).startsWith("HTTP/1.1 500 "));
       assertTrue(held.answer().startsWith("HTTP/1.1 500 "));
-      assertTrue(bad.ask(Rig.get("t2", "X-Customer: good\r\n")).startsWith("HTTP/1.1 429 "));
+      assertTrue(bad.ask(ProxyFixture.get("t2", "X-Customer: good\r\n")).startsWith("HTTP/1.1 429 "));
     }
   }
 
   @Test
   void requestsThatComeEarlyAreAnsweredInTurn() throws Exception {
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       for (String r = c.next(); r != null; r = c.next()) {
-        c.write(StubServer.ok(r.contains("X-Trace-Id: first") ? "1" : "2"));
+        c.write(FakeServer.ok(r.contains("X-Trace-Id: first") ? "1" : "2"));
       }
-    }); Rig rig = new Rig(one(upstream)); Client client = rig.client()) {
-      client.write(Rig.get("first", "") + Rig.get("second", ""));
+    }); ProxyFixture rig = new ProxyFixture(one(upstream)); Client client = rig.client()) {
+      client.write(ProxyFixture.get("first", "") + ProxyFixture.get("second", ""));
       assertTrue(client.answer().endsWith("\r\n\r\n1"));
       assertTrue(client.answer().endsWith("\r\n\r\n2"));
     }
@@ -185,25 +185,25 @@
 
   @Test
   void timersFireAndPeersTalk() throws Exception {
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived) {
         out.accept(new SetTimer("now", 0));
-        out.accept(new TellPeer(-1, "hi 1".getBytes(StandardCharsets.UTF_8)));
+        out.accept(new SendGossip(-1, "hi 1".getBytes(StandardCharsets.UTF_8)));
       }
     });
     try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-      peer.setSoTimeout(Rig.LIMIT_S * 1000);
+      peer.setSoTimeout(ProxyFixture.LIMIT_S * 1000);
       String more = "\"peer_listen\":\"127.0.0.1:" + freePort() + "\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:"
           + peer.getLocalPort() + "\"],\"peers_all\":\"127.0.0.1:" + peer.getLocalPort() + "\",";
-      Config config = Rig.config(NOWHERE, Rig.list(1, true), "on_request", 200, 1024, more);
-      try (Rig rig = new Rig(config, module); Client client = rig.client()) {
-        client.write(Rig.get("t", ""));
+      BalancerConfig config = ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 1024, more);
+      try (ProxyFixture rig = new ProxyFixture(config, module); Client client = rig.client()) {
+        client.write(ProxyFixture.get("t", ""));
         assertEquals("now", module.next(TimerFired.class).token());
         DatagramPacket packet = new DatagramPacket(new byte[256], 256);
         peer.receive(packet);
         assertEquals("hi 1", new String(packet.getData(), 0, packet.getLength(), StandardCharsets.UTF_8));
         peer.send(new DatagramPacket(new byte[] {7}, 1, config.peerListen()));
-        PeerMessage message = module.next(PeerMessage.class);
+        GossipReceived message = module.next(GossipReceived.class);
         assertEquals(1, message.from());
         assertEquals(7, message.data()[0]);
       }
@@ -218,22 +218,22 @@
 
   @Test
   void stoppingTakesWhatStillComesAndAnswersIt() throws Exception {
-    try (StubServer upstream = new StubServer(c -> {
+    try (FakeServer upstream = new FakeServer(c -> {
       for (String r = c.next(); r != null; r = c.next()) {
-        c.write(StubServer.ok("x"));
+        c.write(FakeServer.ok("x"));
       }
-    }); Rig rig = new Rig(one(upstream)); Client old = rig.client()) {
-      assertTrue(old.ask(Rig.get("t1", "")).startsWith("HTTP/1.1 200 "));
+    }); ProxyFixture rig = new ProxyFixture(one(upstream)); Client old = rig.client()) {
+      assertTrue(old.ask(ProxyFixture.get("t1", "")).startsWith("HTTP/1.1 200 "));
       Thread stop = new Thread(rig.server::stop);
       stop.start();
       rig.server.awaitStopping();
       try (Client late = rig.client()) {
         assertTrue(late.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 503 "), "go elsewhere");
-        assertTrue(late.ask(Rig.get("t2", "")).startsWith("HTTP/1.1 200 "));
+        assertTrue(late.ask(ProxyFixture.get("t2", "")).startsWith("HTTP/1.1 200 "));
         assertNull(late.answer(), "and the connection ends");
       }
       assertNull(old.answer(), "as does one from before");
-      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
       assertTrue(!stop.isAlive(), "ends once no client is left");
     }
   }
@@ -243,23 +243,23 @@
   void aRequestThatLayUnreadForItsTimeIsNotSentOn() throws Exception {
     CountDownLatch held = new CountDownLatch(1);
     CountDownLatch written = new CountDownLatch(1);
-    Script module = new Script((event, out) -> {
-      if (event instanceof Request r && r.workHintNanos() > 0) {
+    ScriptedEngine module = new ScriptedEngine((event, out) -> {
+      if (event instanceof RequestArrived r && r.workHintNanos() > 0) {
         held.countDown();
         hold(written);
-        out.accept(new Refuse(r.id(), 0));
-      } else if (event instanceof Request r) {
-        out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
-      } else if (event instanceof Outcome o && !o.finished()) {
-        out.accept(new Fail(o.id()));
+        out.accept(new RejectRequest(r.requestId(), 0));
+      } else if (event instanceof RequestArrived r) {
+        out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), 0));
+      } else if (event instanceof AttemptEnded o && !o.finished()) {
+        out.accept(new FailRequest(o.requestId()));
       }
     });
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream), module);
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream), module);
         Client client = rig.client(); Client other = rig.client()) {
       assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
-      other.write(Rig.get("holds", "X-Size-Hint: 7\r\n"));
+      other.write(ProxyFixture.get("holds", "X-Size-Hint: 7\r\n"));
       held.await();
-      client.write(Rig.get("brief", "X-Expires-In-Ms: 300\r\n"));
+      client.write(ProxyFixture.get("brief", "X-Expires-In-Ms: 300\r\n"));
       written.countDown();
       assertTrue(client.answer().startsWith("HTTP/1.1 50"), "too late");
       assertNull(upstream.requests.poll(), "not sent");
--- a/src/test/java/loadbalancer/serve/ReloadTest.java
+++ b/src/test/java/loadbalancer/serve/ReloadTest.java
@@ -3,57 +3,57 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.State;
-import loadbalancer.Balancer.Watch;
-import loadbalancer.serve.Rig.Client;
-import loadbalancer.serve.Rig.Script;
-import loadbalancer.wire.WireException;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
+import loadbalancer.wire.MalformedInputException;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** A configuration that is read again while the balancer serves, and lists that are not to be believed. */
-@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
 class ReloadTest {
 
-  private static final String A = Rig.member("s-a", "127.0.0.1:1", "ready");
-  private static final String B = Rig.member("s-b", "127.0.0.1:2", "ready");
+  private static final String A = ProxyFixture.member("s-a", "127.0.0.1:1", "ready");
+  private static final String B = ProxyFixture.member("s-b", "127.0.0.1:2", "ready");
 
-  private static StubServer discovery(String... lines) throws Exception {
-    return new StubServer(c -> {
+  private static FakeServer discovery(String... lines) throws Exception {
+    return new FakeServer(c -> {
       c.next();
       for (int i = 0; i < lines.length; i++) {
-        c.write(i == 0 ? Discoveries.watch(lines[i]) : Discoveries.chunk(lines[i]));
+        c.write(i == 0 ? DiscoveryMessages.watch(lines[i]) : DiscoveryMessages.chunk(lines[i]));
       }
       c.ends();
     });
   }
 
-  private static Script watching() {
-    return new Script((event, out) -> {
-      if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
-        out.accept(new Watch(true));
+  private static ScriptedEngine watching() {
+    return new ScriptedEngine((event, out) -> {
+      if (event instanceof EndpointListUpdate n && n.kind() == UpdateKind.CACHED) {
+        out.accept(new WatchEndpoints(true));
       }
     });
   }
 
   @Test
   void discoveryIsFollowedToItsNewAddressAtOnce() throws Exception {
-    Script module = watching();
-    try (StubServer old = discovery(Rig.list(2, true, A)); StubServer fresh = discovery(Rig.list(3, true, A, B));
-        Rig rig = new Rig(Rig.config(old.address(), Rig.list(1, true, A)), module)) {
-      module.next(ListNews.class);
-      assertEquals(1, module.next(ListNews.class).entries().size());
-      rig.server.reload(() -> Rig.config(fresh.address(), Rig.list(1, true, A)));
-      ListNews news = module.next(ListNews.class);
-      assertEquals(ListKind.FULL, news.kind());
-      assertEquals(2, news.entries().size());
+    ScriptedEngine module = watching();
+    try (FakeServer old = discovery(ProxyFixture.list(2, true, A)); FakeServer fresh = discovery(ProxyFixture.list(3, true, A, B));
+        ProxyFixture rig = new ProxyFixture(ProxyFixture.config(old.address(), ProxyFixture.list(1, true, A)), module)) {
+      module.next(EndpointListUpdate.class);
+      assertEquals(1, module.next(EndpointListUpdate.class).endpoints().size());
+      rig.server.reload(() -> ProxyFixture.config(fresh.address(), ProxyFixture.list(1, true, A)));
+      EndpointListUpdate news = module.next(EndpointListUpdate.class);
+      assertEquals(UpdateKind.FULL, news.kind());
+      assertEquals(2, news.endpoints().size());
       assertTrue(fresh.requests.take().startsWith("GET /v1/servers?follow=1&since=2 HTTP/1.1\r\n"));
       assertTrue(old.connections.take().awaitEnd(), "nothing is left at the old address");
     }
@@ -62,14 +62,14 @@
   /** Guards against a bad file that ends the balancer or leaves it without discovery. */
   @Test
   void aFileThatCannotBeReadChangesNothing() throws Exception {
-    Script module = watching();
-    try (StubServer discovery = discovery(Rig.list(2, true, A));
-        Rig rig = new Rig(Rig.config(discovery.address(), Rig.list(1, true, A)), module)) {
-      module.next(ListNews.class);
-      module.next(ListNews.class);
-      rig.server.reload(() -> Config.parse("{\"name\":", Map.of()));
+    ScriptedEngine module = watching();
+    try (FakeServer discovery = discovery(ProxyFixture.list(2, true, A));
+        ProxyFixture rig = new ProxyFixture(ProxyFixture.config(discovery.address(), ProxyFixture.list(1, true, A)), module)) {
+      module.next(EndpointListUpdate.class);
+      module.next(EndpointListUpdate.class);
+      rig.server.reload(() -> BalancerConfig.parse("{\"name\":", Map.of()));
       rig.server.reload(() -> {
-        throw new WireException("on purpose: this line belongs to a test");
+        throw new MalformedInputException("on purpose: this line belongs to a test");
       });
       try (Client client = rig.client()) {
         assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
@@ -81,26 +81,26 @@
   /** Guards against an environment that still names what the file named at the start. */
   @Test
   void theFileComesBeforeTheEnvironment() throws Exception {
-    String text = Rig.text("127.0.0.1:8501", Rig.list(1, true, A), "on_request", 200, 1024, "");
+    String text = ProxyFixture.text("127.0.0.1:8501", ProxyFixture.list(1, true, A), "on_request", 200, 1024, "");
     Map<String, String> environment = Map.of("ROUTER_DISCOVERY", "127.0.0.1:8500", "ROUTER_NAME", "n7");
-    assertEquals(8501, Config.parse(text, environment).discovery().getPort());
-    assertEquals("n7", Config.parse(text.replace("\"name\":\"n0\",", ""), environment).name());
+    assertEquals(8501, BalancerConfig.parse(text, environment).discovery().getPort());
+    assertEquals("n7", BalancerConfig.parse(text.replace("\"name\":\"n0\",", ""), environment).name());
   }
 
-  private static List<Integer> sizes(ServerList... lists) {
-    Fleet fleet = new Fleet(new Clock());
+  private static List<Integer> sizes(EndpointList... lists) {
+    EndpointDirectory fleet = new EndpointDirectory(new MonotonicClock());
     return Arrays.stream(lists).map(l -> {
-      fleet.take(l.complete() ? ListKind.FULL : ListKind.DELTA, l);
-      return fleet.held().entries().size();
+      fleet.take(l.complete() ? UpdateKind.FULL : UpdateKind.DELTA, l);
+      return fleet.held().endpoints().size();
     }).toList();
   }
 
-  private static ServerList list(int revision, boolean complete, String... ids) throws Exception {
-    List<ServerList.Server> members = new ArrayList<>();
+  private static EndpointList list(int revision, boolean complete, String... ids) throws Exception {
+    List<EndpointList.ProxyServer> members = new ArrayList<>();
     for (String id : ids) {
-      members.add(new ServerList.Server(id, Config.address("a", "127.0.0.1:1"), "a", 0, State.READY, 1, 0));
+      members.add(new EndpointList.ProxyServer(id, BalancerConfig.address("a", "127.0.0.1:1"), "a", 0, EndpointState.READY, 1, 0));
     }
-    return new ServerList(revision, complete, members);
+    return new EndpointList(revision, complete, members);
   }
 
   /** Guards against a lagging discovery that brings back what has gone. */
--- a/src/test/java/loadbalancer/serve/TrailTest.java
+++ b/src/test/java/loadbalancer/serve/RequestTraceTest.java
@@ -3,10 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.DedupScope;
-import loadbalancer.Balancer.Effect;
-import loadbalancer.Balancer.RequestClass;
-import loadbalancer.Balancer.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
@@ -18,19 +14,23 @@
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
+import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.DecisionEngine.DedupScope;
+import loadbalancer.DecisionEngine.Idempotence;
+import loadbalancer.DecisionEngine.RequestClass;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-class TrailTest {
+class RequestTraceTest {
 
   private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
   private static final RequestClass TYPE =
-      new RequestClass("c", Effect.SAFE, DedupScope.ALL, 0, 400 * MS, 0, 2000 * MS, 1, 0, false);
+      new RequestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL, 0, 400 * MS, 0, 2000 * MS, 1, 0, false);
 
   private final List<String> lines = new ArrayList<>();
-  private final Logger logger = Logger.getLogger(Trail.class.getName());
-  private final Trail trail = new Trail(upstream -> "s-" + upstream);
+  private final Logger logger = Logger.getLogger(RequestTrace.class.getName());
+  private final RequestTrace trail = new RequestTrace(upstream -> "s-" + upstream);
   private final Handler handler = new Handler() {
     @Override
     public void publish(LogRecord line) {
@@ -54,9 +54,9 @@
     logger.removeHandler(handler);
   }
 
-  private static Exchange taken(String id, long at) {
-    Exchange x = new Exchange(id, TYPE, null, null, 0, false, at + 2000 * MS,
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), new Exchange.Reply() {
+  private static ProxiedRequest taken(String id, long at) {
+    ProxiedRequest x = new ProxiedRequest(id, TYPE, null, null, 0, false, at + 2000 * MS,
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), new ProxiedRequest.Reply() {
           @Override
           public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {}
 
@@ -71,13 +71,13 @@
 
   @Test
   void aRequestThatEndedBadlyIsToldOfWithAllItsAttempts() {
-    Exchange x = taken("t1", 0);
-    Exchange.Attempt first = new Exchange.Attempt(0, 10 * MS);
-    first.call = new Call(7, () -> true, (status, answer) -> { });
-    first.status = Status.RESET;
+    ProxiedRequest x = taken("t1", 0);
+    ProxiedRequest.Attempt first = new ProxiedRequest.Attempt(0, 10 * MS);
+    first.call = new UpstreamCall(7, () -> true, (status, answer) -> { });
+    first.status = AttemptStatus.RESET;
     first.latency = 40 * MS;
-    Exchange.Attempt second = new Exchange.Attempt(1, 60 * MS);
-    second.call = new Call(8, () -> true, (status, answer) -> { });
+    ProxiedRequest.Attempt second = new ProxiedRequest.Attempt(1, 60 * MS);
+    second.call = new UpstreamCall(8, () -> true, (status, answer) -> { });
     x.attempts.addAll(List.of(first, second));
     x.unreadNanos = 12 * MS;
     trail.answered(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
@@ -87,13 +87,13 @@
 
   @Test
   void whatEndedWellOrWasRefusedAtOnceIsOnlyCounted() {
-    trail.attempted(Status.SERVED);
-    trail.attempted(Status.FULL);
+    trail.attempted(AttemptStatus.SUCCESS);
+    trail.attempted(AttemptStatus.REJECTED);
     trail.timer(3 * MS);
     trail.answered(taken("good", 0), HttpResponseStatus.OK, 400 * MS);
     trail.answered(taken("refused", 500 * MS), HttpResponseStatus.TOO_MANY_REQUESTS, 501 * MS);
     trail.answered(taken("next", 1400 * MS), HttpResponseStatus.OK, 1500 * MS);
-    assertEquals(List.of("served 2, 0 of them past the aim; refused 1 at once, 0 later; failed 0; attempts 1 SERVED 1 FULL; "
+    assertEquals(List.of("served 2, 0 of them past the aim; refused 1 at once, 0 later; failed 0; attempts 1 SUCCESS 1 REJECTED; "
         + "loop behind by 3 ms at most"), lines);
   }
 
--- a/src/test/java/loadbalancer/serve/LoopTest.java
+++ b/src/test/java/loadbalancer/serve/RoundingIoHandlerTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 /** How the event loop waits. */
-class LoopTest {
+class RoundingIoHandlerTest {
 
   private static final int TIMERS = 200;
   /** A turn that waits, one that finds the timer due, and some of chance. */
@@ -65,7 +65,7 @@
   void aLoopSleepsUntilATimerIsDue() throws Exception {
     AtomicInteger turns = new AtomicInteger();
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-        executor -> new Counting(Server.loops().newHandler(executor), turns));
+        executor -> new Counting(ProxyServer.loops().newHandler(executor), turns));
     try {
       CountDownLatch fired = new CountDownLatch(TIMERS);
       // One after the other, at no whole number of milliseconds.
@@ -79,7 +79,7 @@
         }
       };
       group.next().execute(timer);
-      assertTrue(fired.await(Rig.LIMIT_S, TimeUnit.SECONDS), "the timers have not all come");
+      assertTrue(fired.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS), "the timers have not all come");
       assertTrue(turns.get() <= TURNS_A_TIMER * TIMERS, turns.get() + " turns for " + TIMERS + " timers");
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/test/java/loadbalancer/serve/StartStopTest.java
+++ b/src/test/java/loadbalancer/serve/StartupTest.java
@@ -5,12 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import loadbalancer.Balancer.ListKind;
-import loadbalancer.Balancer.ListNews;
-import loadbalancer.Balancer.Settings;
-import loadbalancer.Balancer.State;
-import loadbalancer.serve.Rig.Script;
-import loadbalancer.serve.Warmup.Count;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -18,64 +12,70 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import loadbalancer.DecisionEngine.EndpointListUpdate;
+import loadbalancer.DecisionEngine.EndpointState;
+import loadbalancer.DecisionEngine.Settings;
+import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.serve.ProxyFixture.ScriptedEngine;
+import loadbalancer.serve.WarmUp.Count;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-class StartStopTest {
+class StartupTest {
 
   private static Settings settings() throws IOException {
-    return Config.read(Map.of("ROUTER_CONFIG", "deploy/example.json")).settings();
+    return BalancerConfig.read(Map.of("ROUTER_CONFIG", "deploy/example.json")).settings();
   }
 
   /** Bounded by the clock it made 17 of its 2,000 requests at half a core, and left the code cold. */
   @Test
   void allItsRequestsAreAnsweredHoweverLongThatTakes() throws IOException {
-    assertEquals(Warmup.MOST_REQUESTS, Warmup.run(settings(), TimeUnit.MINUTES.toMillis(1)).answered());
+    assertEquals(WarmUp.MOST_REQUESTS, WarmUp.run(settings(), TimeUnit.MINUTES.toMillis(1)).answered());
   }
 
   /** With 200 requests for each a restart of most of a large fleet was an outage of three seconds, of which these were one. */
   @Test
   void oneOfManyIsReadySoonerThanOneThatHasMuchToServe() throws IOException {
-    assertEquals(42, Warmup.run(shared("985", 14), TimeUnit.MINUTES.toMillis(1)).answered());
-    assertEquals(180, Warmup.requests(shared("600", 2)));
-    assertEquals(Warmup.LEAST_REQUESTS, Warmup.requests(shared("100", 14)));
-    assertEquals(Warmup.MOST_REQUESTS, Warmup.requests(shared("0", 14)), "no quota stated");
+    assertEquals(42, WarmUp.run(shared("985", 14), TimeUnit.MINUTES.toMillis(1)).answered());
+    assertEquals(180, WarmUp.requests(shared("600", 2)));
+    assertEquals(WarmUp.LEAST_REQUESTS, WarmUp.requests(shared("100", 14)));
+    assertEquals(WarmUp.MOST_REQUESTS, WarmUp.requests(shared("0", 14)), "no quota stated");
   }
 
   private static Settings shared(String quota, int balancers) throws IOException {
     String text = Files.readString(Path.of("deploy/example.json")).replace("100000.0", quota)
         .replace("\"group-size\": 1", "\"group-size\": " + balancers);
-    return Config.parse(text, Map.of()).settings();
+    return BalancerConfig.parse(text, Map.of()).settings();
   }
 
   /** Once cut short its clients went on for seconds, refused by a balancer whose upstream was closed. */
   @Test
   void cutShortItAsksNothingMore() throws IOException {
-    Count count = Warmup.run(settings(), 0);
-    assertTrue(count.asked() < Warmup.MOST_REQUESTS, () -> "went on after its end: " + count);
+    Count count = WarmUp.run(settings(), 0);
+    assertTrue(count.asked() < WarmUp.MOST_REQUESTS, () -> "went on after its end: " + count);
   }
 
   /** A third of its attempts was taken for broken, and its upstreams were left out: with long aims nothing is refused else. */
   @Test
   void itsUpstreamsServeAll() throws IOException {
-    Settings settings = Rig.config("127.0.0.1:1", Rig.list(1, true)).settings();
-    Count count = Warmup.run(settings, TimeUnit.MINUTES.toMillis(1));
-    assertEquals(new Count(Warmup.MOST_REQUESTS, Warmup.MOST_REQUESTS, Warmup.MOST_REQUESTS), count);
+    Settings settings = ProxyFixture.config("127.0.0.1:1", ProxyFixture.list(1, true)).settings();
+    Count count = WarmUp.run(settings, TimeUnit.MINUTES.toMillis(1));
+    assertEquals(new Count(WarmUp.MOST_REQUESTS, WarmUp.MOST_REQUESTS, WarmUp.MOST_REQUESTS), count);
   }
 
   /** SIGKILL may come 0.7 s after the longest deadline, counted from SIGTERM: all has its answer by then. */
   @Test
   void whatIsInHandIsAnsweredBeforeTheProcessMayBeKilled() throws IOException {
-    String text = Rig.text("127.0.0.1:1", Rig.list(1, true), "on_request", 200, 1024, "");
-    Settings brief = Config.parse(text.replace("40000000000", "1940000000"), Map.of()).settings();
-    assertTrue(Server.stopMillis(brief) < 1940 + 700);
-    assertTrue(Server.stopMillis(Config.parse(text, Map.of()).settings()) < 3000 + 700);
+    String text = ProxyFixture.text("127.0.0.1:1", ProxyFixture.list(1, true), "on_request", 200, 1024, "");
+    Settings brief = BalancerConfig.parse(text.replace("40000000000", "1940000000"), Map.of()).settings();
+    assertTrue(ProxyServer.stopMillis(brief) < 1940 + 700);
+    assertTrue(ProxyServer.stopMillis(BalancerConfig.parse(text, Map.of()).settings()) < 3000 + 700);
   }
 
-  private static final String A = Rig.member("s-a", "127.0.0.1:1", "ready");
+  private static final String A = ProxyFixture.member("s-a", "127.0.0.1:1", "ready");
 
-  private static Config pushed(StubServer discovery) throws IOException {
-    return Rig.config(discovery.address(), Rig.list(1, true, A), "pushed", 200, 1024, "");
+  private static BalancerConfig pushed(FakeServer discovery) throws IOException {
+    return ProxyFixture.config(discovery.address(), ProxyFixture.list(1, true, A), "pushed", 200, 1024, "");
   }
 
   /**
@@ -83,21 +83,21 @@
    * to what the old list still called ready.
    */
   @Test
-  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
   void aStartWaitsForWhatDiscoveryHasToTell() throws Exception {
-    Script module = new Script((event, out) -> { });
+    ScriptedEngine module = new ScriptedEngine((event, out) -> { });
     CountDownLatch prepared = new CountDownLatch(1);
     AtomicBoolean early = new AtomicBoolean();
-    try (StubServer discovery = new StubServer(c -> {
+    try (FakeServer discovery = new FakeServer(c -> {
       c.next();
-      early.set(prepared.await(Discovery.AGENT_MILLIS / 2, TimeUnit.MILLISECONDS));
-      c.write(Discoveries.watch(Rig.list(2, false, Rig.member("s-a", "127.0.0.1:1", "draining"))));
+      early.set(prepared.await(DiscoveryClient.AGENT_MILLIS / 2, TimeUnit.MILLISECONDS));
+      c.write(DiscoveryMessages.watch(ProxyFixture.list(2, false, ProxyFixture.member("s-a", "127.0.0.1:1", "draining"))));
       c.ends();
     })) {
-      Server server = Server.prepare(pushed(discovery), n -> module, TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      ProxyServer server = ProxyServer.prepare(pushed(discovery), n -> module, TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
       prepared.countDown();
-      assertEquals(ListKind.CACHED, module.next(ListNews.class).kind());
-      assertEquals(State.DRAINING, module.next(ListNews.class).entries().get(0).state());
+      assertEquals(UpdateKind.CACHED, module.next(EndpointListUpdate.class).kind());
+      assertEquals(EndpointState.DRAINING, module.next(EndpointListUpdate.class).endpoints().get(0).state());
       server.shutDown();
     }
     assertFalse(early.get(), "ready before the list came");
@@ -105,16 +105,16 @@
 
   /** Discovery is down: its agent is silent, and the service goes on with what was known. */
   @Test
-  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
   void withoutDiscoveryItStartsWithTheListThatWasKnown() throws Exception {
-    Script module = new Script(TimeUnit.SECONDS.toNanos(30));
-    try (StubServer discovery = new StubServer(c -> {
+    ScriptedEngine module = new ScriptedEngine(TimeUnit.SECONDS.toNanos(30));
+    try (FakeServer discovery = new FakeServer(c -> {
       c.next();
       c.ends();
     })) {
-      Server server = Server.prepare(pushed(discovery), n -> module, 100);
+      ProxyServer server = ProxyServer.prepare(pushed(discovery), n -> module, 100);
       server.listen();
-      try (Rig.Client client = new Rig.Client(server)) {
+      try (ProxyFixture.Client client = new ProxyFixture.Client(server)) {
         assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
       } finally {
         server.shutDown();
@@ -124,17 +124,17 @@
 
   /** A signal each has a thread of its own: the file that was read first must not be carried out last. */
   @Test
-  @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
   void ofTwoReloadsAtOnceTheLaterFileHolds() throws Exception {
-    try (StubServer old = new StubServer(StubServer.Connection::next);
-        StubServer next = new StubServer(StubServer.Connection::next);
-        StubServer last = new StubServer(StubServer.Connection::next);
-        Rig rig = new Rig(pushed(old), new Script((event, out) -> { }))) {
+    try (FakeServer old = new FakeServer(FakeServer.Connection::next);
+        FakeServer next = new FakeServer(FakeServer.Connection::next);
+        FakeServer last = new FakeServer(FakeServer.Connection::next);
+        ProxyFixture rig = new ProxyFixture(pushed(old), new ScriptedEngine((event, out) -> { }))) {
       Thread second = new Thread(() -> rig.server.reload(() -> pushed(last)));
       rig.server.reload(() -> {
         second.start();
         // The second signal's thread has either carried out its file, or waits for this one to be through.
-        while (second.getState() != Thread.State.BLOCKED && second.getState() != Thread.State.TERMINATED) {
+        while (second.getState() != Thread.EndpointState.BLOCKED && second.getState() != Thread.EndpointState.TERMINATED) {
           Thread.onSpinWait();
         }
         return pushed(next);
@@ -142,7 +142,7 @@
       second.join();
       // Carried out last it would be watched from here on: its agents end every watch, and each end brings the next one.
       last.requests.clear();
-      assertNotNull(last.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(last.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
     }
   }
 }
