--- a/src/main/java/loadbalancer/Main.java
+++ b/src/main/java/loadbalancer/Main.java
@@ -4,8 +4,8 @@
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.util.Map;
-import loadbalancer.drill.SimulateCommand;
-import loadbalancer.serve.ServeCommand;
+import loadbalancer.proxy.ServeCommand;
+import loadbalancer.simulator.SimulateCommand;
 
 /** Entry point: the real balancer or the adapter to the simulator, around the same decisions. */
 public final class Main {
--- a/src/main/java/loadbalancer/serve/BalancerConfig.java
+++ b/src/main/java/loadbalancer/config/BalancerConfig.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -11,10 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.wire.JsonFields;
-import loadbalancer.wire.MalformedInputException;
-import loadbalancer.wire.SettingsDecoder;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.discovery.EndpointList;
 
 /**
  * What a balancer is told at its start.
--- a/src/main/java/loadbalancer/wire/JsonFields.java
+++ b/src/main/java/loadbalancer/config/JsonFields.java
@@ -1,4 +1,4 @@
-package loadbalancer.wire;
+package loadbalancer.config;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/loadbalancer/wire/SettingsDecoder.java
+++ b/src/main/java/loadbalancer/config/SettingsDecoder.java
@@ -1,17 +1,17 @@
-package loadbalancer.wire;
+package loadbalancer.config;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.DecisionEngine.DedupScope;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.Limits;
-import loadbalancer.DecisionEngine.Prices;
-import loadbalancer.DecisionEngine.RequestClass;
-import loadbalancer.DecisionEngine.ServiceContract;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.Tenant;
-import loadbalancer.DecisionEngine.WeightKind;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.Limits;
+import loadbalancer.decision.api.Prices;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.decision.api.ServiceContract;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.Tenant;
+import loadbalancer.decision.api.WeightKind;
 
 /** Translates the settings, which the simulator and a real balancer are handed alike, into the module's. */
 public final class SettingsDecoder {
--- a/src/main/java/loadbalancer/Attempt.java
+++ b/src/main/java/loadbalancer/decision/Attempt.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 /** One sending of a request. */
 final class Attempt {
--- a/src/main/java/loadbalancer/DecayingRate.java
+++ b/src/main/java/loadbalancer/decision/DecayingRate.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 /** What comes in a second, as a mean over a long time: the plain one while less than that has passed. */
 final class DecayingRate {
--- a/src/main/java/loadbalancer/HashRing.java
+++ b/src/main/java/loadbalancer/decision/HashRing.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 import java.util.Arrays;
 
--- a/src/main/java/loadbalancer/InFlightRequest.java
+++ b/src/main/java/loadbalancer/decision/InFlightRequest.java
@@ -1,9 +1,9 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 import java.util.ArrayList;
 import java.util.List;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.RequestClass;
 
 /** A request in hand: until it has its final answer and each of its attempts has ended. */
 final class InFlightRequest {
--- a/src/main/java/loadbalancer/SlidingWindow.java
+++ b/src/main/java/loadbalancer/decision/SlidingWindow.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 /** Counts and sums over the last window. */
 final class SlidingWindow {
--- a/src/main/java/loadbalancer/TokenBucket.java
+++ b/src/main/java/loadbalancer/decision/TokenBucket.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 /** A token bucket; its rate and size may differ from one filling to the next. */
 final class TokenBucket {
--- a/src/main/java/loadbalancer/TrackedEndpoint.java
+++ b/src/main/java/loadbalancer/decision/TrackedEndpoint.java
@@ -1,6 +1,6 @@
-package loadbalancer;
+package loadbalancer.decision;
 
-import loadbalancer.DecisionEngine.Endpoint;
+import loadbalancer.decision.api.Endpoint;
 
 /** What a balancer knows of an upstream. */
 final class TrackedEndpoint {
--- /dev/null
+++ b/src/main/java/loadbalancer/decision/api/Settings.java
@@ -0,0 +1,89 @@
+package loadbalancer.decision.api;
+
+import java.util.List;
+
+/**
+ * The settings of one load balancer instance, fixed for the life of its engine.
+ *
+ * @param instanceIndex this instance's number within its group
+ * @param instanceCount instances of the group, above 0
+ * @param zone the zone this instance runs in
+ * @param classes the classes of requests, at least one
+ * @param tenants the tenants, possibly none
+ * @param limits what the deployment allows
+ * @param contract the figures that the platform holds the instance to
+ * @param prices what resources cost
+ * @param polledDiscovery whether the endpoint list comes on request instead of being pushed
+ * @param weightKind what endpoint weights mean
+ * @param overQuotaWeight the part of its priority weight that a request over its tenant's quota has
+ * @param keyAffinity whether an endpoint serves keys faster that it has served before
+ * @param tickNanos time that may pass before an action is carried out, not negative
+ */
+public record Settings(
+    int instanceIndex,
+    int instanceCount,
+    String zone,
+    List<RequestClass> classes,
+    List<Tenant> tenants,
+    Limits limits,
+    ServiceContract contract,
+    Prices prices,
+    boolean polledDiscovery,
+    WeightKind weightKind,
+    double overQuotaWeight,
+    boolean keyAffinity,
+    long tickNanos) {
+
+  /**
+   * Rejects values that cannot make sense.
+   *
+   * @throws IllegalArgumentException naming the setting, by its word in the settings file
+   */
+  public Settings {
+    check(instanceCount > 0, "group size must be above 0");
+    check(!classes.isEmpty(), "classes must not be empty");
+    for (RequestClass type : classes) {
+      checkClass(type);
+    }
+    for (Tenant tenant : tenants) {
+      check(
+          tenant.share() >= 0 && tenant.quotaPerSecond() >= 0,
+          "share and quota of tenant " + tenant.name() + " must not be negative");
+    }
+    check(limits.maxAttempts() > 0, "max attempts must be above 0");
+    check(limits.maxInFlightRequests() > 0, "max open must be above 0");
+    check(limits.maxRetryAfterNanos() >= 0, "max retry-after must not be negative");
+    checkContract(contract);
+    check(tickNanos >= 0, "tick must not be negative");
+  }
+
+  private static void checkClass(RequestClass type) {
+    String name = type.name();
+    check(type.latencyObjectiveNanos() > 0, "aim of class " + name + " must be above 0");
+    check(type.deadlineNanos() > 0, "deadline of class " + name + " must be above 0");
+    check(
+        type.dedupWindowNanos() >= 0, "dedup window of class " + name + " must not be negative");
+    check(
+        type.priorityWeight() >= 0 && type.lateWeight() >= 0,
+        "worth of class " + name + " must not be negative");
+  }
+
+  private static void checkContract(ServiceContract contract) {
+    check(contract.responseSlackNanos() >= 0, "answer slack must not be negative");
+    check(contract.pollWithinNanos() >= 0, "ask-within must not be negative");
+    check(contract.drainGraceNanos() >= 0, "drain grace must not be negative");
+    check(
+        contract.initialCapacity() > 0 && contract.initialCapacity() <= 1,
+        "cold-from must be above 0 and at most 1");
+    check(contract.slowStartNanos() >= 0, "warm-within must not be negative");
+    check(
+        contract.overloadMultiple() > 0 && contract.overloadWindowNanos() >= 0,
+        "fall figures must not be negative");
+  }
+
+  private static void check(boolean valid, String problem) {
+    if (!valid) {
+      throw new IllegalArgumentException("settings: " + problem);
+    }
+  }
+}
--- a/src/main/java/loadbalancer/serve/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.discovery;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import io.netty.bootstrap.Bootstrap;
@@ -28,9 +28,10 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.wire.JsonFields;
-import loadbalancer.wire.MalformedInputException;
+import loadbalancer.config.JsonFields;
+import loadbalancer.config.MalformedInputException;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.proxy.RequestDispatcher;
 
 /** Asks discovery for the list of upstreams, once or as a watch on its changes, and says when that fails. */
 final class DiscoveryClient implements RequestDispatcher.ListSource {
--- a/src/main/java/loadbalancer/serve/EndpointDirectory.java
+++ b/src/main/java/loadbalancer/discovery/EndpointDirectory.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.discovery;
 
 import java.net.SocketAddress;
 import java.util.ArrayList;
@@ -6,11 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.DecisionEngine.Endpoint;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.serve.EndpointList.Member;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.EndpointList.Member;
+import loadbalancer.net.MonotonicClock;
 
 /** The upstreams as discovery last named them: the module's numbers, addresses and states. */
 final class EndpointDirectory {
--- a/src/main/java/loadbalancer/serve/EndpointList.java
+++ b/src/main/java/loadbalancer/discovery/EndpointList.java
@@ -1,11 +1,12 @@
-package loadbalancer.serve;
+package loadbalancer.discovery;
 
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.wire.JsonFields;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.config.JsonFields;
+import loadbalancer.decision.api.EndpointState;
 
 /** A list of upstreams, or changes to one, in discovery's form. */
 record EndpointList(long revision, boolean complete, List<Member> members) {
--- a/src/main/java/loadbalancer/serve/ClientConnections.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnections.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.downstream;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
--- a/src/main/java/loadbalancer/serve/DownstreamListener.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamListener.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.downstream;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -44,11 +44,17 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.RequestClass;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.Tenant;
-import loadbalancer.serve.ClientConnections.State;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.Tenant;
+import loadbalancer.downstream.ClientConnections.State;
+import loadbalancer.net.DescriptorBudget;
+import loadbalancer.net.MonotonicClock;
+import loadbalancer.proxy.ProxiedRequest;
+import loadbalancer.proxy.RequestDispatcher;
+import loadbalancer.telemetry.EventLoopLagMonitor;
+import loadbalancer.upstream.ConnectionPool;
 
 /** The clients' side: takes requests in, hands them to the node, and writes the final answers. */
 final class DownstreamListener {
--- a/src/main/java/loadbalancer/serve/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.downstream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/src/main/java/loadbalancer/serve/GossipChannel.java
+++ b/src/main/java/loadbalancer/gossip/GossipChannel.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.gossip;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import loadbalancer.proxy.RequestDispatcher;
 
 /** Datagrams from and to the other balancers: late, lost or sound, never answered for. */
 final class GossipChannel implements RequestDispatcher.PeerSender {
--- a/src/main/java/loadbalancer/serve/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/net/DescriptorBudget.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.net;
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
--- a/src/main/java/loadbalancer/serve/MonotonicClock.java
+++ b/src/main/java/loadbalancer/net/MonotonicClock.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.net;
 
 import java.util.concurrent.TimeUnit;
 
--- a/src/main/java/loadbalancer/serve/RoundingIoHandler.java
+++ b/src/main/java/loadbalancer/net/RoundingIoHandler.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.net;
 
 import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
--- a/src/main/java/loadbalancer/serve/ClassArchiveTraining.java
+++ b/src/main/java/loadbalancer/proxy/ClassArchiveTraining.java
@@ -1,7 +1,8 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import java.io.IOException;
 import java.util.Map;
+import loadbalancer.config.BalancerConfig;
 
 /**
  * Run by the build to learn which classes a balancer loads: it starts one and stops it again. The archive made of them
--- a/src/main/java/loadbalancer/serve/ProxiedRequest.java
+++ b/src/main/java/loadbalancer/proxy/ProxiedRequest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -14,9 +14,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.downstream.DownstreamListener;
+import loadbalancer.upstream.UpstreamCall;
 
 /** A client's request in hand, from when it is taken until it is answered and its last attempt has ended. */
 final class ProxiedRequest {
--- a/src/main/java/loadbalancer/serve/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -18,11 +18,23 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
-import loadbalancer.DecisionEngine;
-import loadbalancer.DecisionEngine.RequestClass;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.LoadBalancingEngine;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.LoadBalancingEngine;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.DiscoveryClient;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.discovery.EndpointList;
+import loadbalancer.downstream.DownstreamListener;
+import loadbalancer.gossip.GossipChannel;
+import loadbalancer.net.DescriptorBudget;
+import loadbalancer.net.MonotonicClock;
+import loadbalancer.net.RoundingIoHandler;
+import loadbalancer.telemetry.EventLoopLagMonitor;
+import loadbalancer.upstream.ConnectionPool;
+import loadbalancer.upstream.UpstreamChannel;
 
 /** One balancer, from start to stop: wires the parts together on one event loop. */
 final class ProxyServer {
--- a/src/main/java/loadbalancer/serve/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -22,30 +22,39 @@
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import loadbalancer.DecisionEngine;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.AttemptEnded;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.CancelAttempt;
-import loadbalancer.DecisionEngine.CheckHealth;
-import loadbalancer.DecisionEngine.ClientDisconnected;
-import loadbalancer.DecisionEngine.CloseIdleConnections;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.Event;
-import loadbalancer.DecisionEngine.FailRequest;
-import loadbalancer.DecisionEngine.FetchEndpoints;
-import loadbalancer.DecisionEngine.GossipReceived;
-import loadbalancer.DecisionEngine.HealthCheckResult;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.DecisionEngine.SendGossip;
-import loadbalancer.DecisionEngine.SetTimer;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.DecisionEngine.TimerFired;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.DecisionEngine.WatchEndpoints;
-import loadbalancer.serve.ProxiedRequest.Attempt;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.CancelAttempt;
+import loadbalancer.decision.api.Action.CheckHealth;
+import loadbalancer.decision.api.Action.CloseIdleConnections;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.FetchEndpoints;
+import loadbalancer.decision.api.Action.LogMessage;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.SendGossip;
+import loadbalancer.decision.api.Action.SetTimer;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.Action.WatchEndpoints;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.Event;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.ClientDisconnected;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.Event.GossipReceived;
+import loadbalancer.decision.api.Event.HealthCheckResult;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.Event.TimerFired;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.discovery.EndpointList;
+import loadbalancer.downstream.DownstreamListener;
+import loadbalancer.net.MonotonicClock;
+import loadbalancer.proxy.ProxiedRequest.Attempt;
+import loadbalancer.telemetry.RequestTrace;
+import loadbalancer.upstream.ConnectionPool;
+import loadbalancer.upstream.LoadReport;
+import loadbalancer.upstream.UpstreamCall;
 
 /**
  * Stands between the sockets and the decision module: words what happens on the first as the second's events, one at a
@@ -305,7 +314,7 @@
       pool.closeIdle(a.endpointId());
     } else if (action instanceof SendGossip a) {
       peers.send(a.to(), a.data());
-    } else if (action instanceof DecisionEngine.LogMessage a) {
+    } else if (action instanceof LogMessage a) {
       LOG.info(a.text());
     }
   }
--- a/src/main/java/loadbalancer/serve/ServeCommand.java
+++ b/src/main/java/loadbalancer/proxy/ServeCommand.java
@@ -1,10 +1,11 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import loadbalancer.config.BalancerConfig;
 import sun.misc.Signal;
 
 /** Entry point of the real balancer. */
--- a/src/main/java/loadbalancer/serve/WarmUp.java
+++ b/src/main/java/loadbalancer/proxy/WarmUp.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -30,13 +30,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
 import java.util.stream.IntStream;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.RequestClass;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.Tenant;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.LoadBalancingEngine;
-import loadbalancer.serve.EndpointList.Member;
+import loadbalancer.decision.LoadBalancingEngine;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.Tenant;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.discovery.EndpointList;
+import loadbalancer.discovery.EndpointList.Member;
+import loadbalancer.downstream.DownstreamListener;
+import loadbalancer.net.DescriptorBudget;
+import loadbalancer.net.MonotonicClock;
+import loadbalancer.telemetry.EventLoopLagMonitor;
+import loadbalancer.upstream.ConnectionPool;
 
 /**
  * Runs the program's own code on requests of its own before the first client comes. Everything is the real thing but the
--- a/src/main/java/loadbalancer/drill/ActionEncoder.java
+++ b/src/main/java/loadbalancer/simulator/ActionEncoder.java
@@ -1,19 +1,19 @@
-package loadbalancer.drill;
+package loadbalancer.simulator;
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
 import java.util.Base64;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.CancelAttempt;
-import loadbalancer.DecisionEngine.CheckHealth;
-import loadbalancer.DecisionEngine.CloseIdleConnections;
-import loadbalancer.DecisionEngine.FailRequest;
-import loadbalancer.DecisionEngine.FetchEndpoints;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.SendGossip;
-import loadbalancer.DecisionEngine.SetTimer;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.CancelAttempt;
+import loadbalancer.decision.api.Action.CheckHealth;
+import loadbalancer.decision.api.Action.CloseIdleConnections;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.FetchEndpoints;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.SendGossip;
+import loadbalancer.decision.api.Action.SetTimer;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.Action.WatchEndpoints;
 
 /** Writes the module's actions in the wire's words. */
 final class ActionEncoder {
--- a/src/main/java/loadbalancer/drill/EventDecoder.java
+++ b/src/main/java/loadbalancer/simulator/EventDecoder.java
@@ -1,24 +1,24 @@
-package loadbalancer.drill;
+package loadbalancer.simulator;
 
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.DecisionEngine.AttemptEnded;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.ClientDisconnected;
-import loadbalancer.DecisionEngine.Endpoint;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.Event;
-import loadbalancer.DecisionEngine.GossipReceived;
-import loadbalancer.DecisionEngine.HealthCheckResult;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.DecisionEngine.ResponseStarted;
-import loadbalancer.DecisionEngine.TimerFired;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.wire.JsonFields;
-import loadbalancer.wire.MalformedInputException;
+import loadbalancer.config.JsonFields;
+import loadbalancer.config.MalformedInputException;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.ClientDisconnected;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.Event.GossipReceived;
+import loadbalancer.decision.api.Event.HealthCheckResult;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.Event.ResponseStarted;
+import loadbalancer.decision.api.Event.TimerFired;
+import loadbalancer.decision.api.UpdateKind;
 
 /** Translates the wire's events into the module's. */
 final class EventDecoder {
--- a/src/main/java/loadbalancer/drill/SimulateCommand.java
+++ b/src/main/java/loadbalancer/simulator/SimulateCommand.java
@@ -1,9 +1,9 @@
-package loadbalancer.drill;
+package loadbalancer.simulator;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
-import loadbalancer.wire.MalformedInputException;
+import loadbalancer.config.MalformedInputException;
 
 /** Entry point of the wire adapter. */
 public final class SimulateCommand {
--- a/src/main/java/loadbalancer/drill/SimulatorAdapter.java
+++ b/src/main/java/loadbalancer/simulator/SimulatorAdapter.java
@@ -1,4 +1,4 @@
-package loadbalancer.drill;
+package loadbalancer.simulator;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -12,13 +12,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import loadbalancer.DecisionEngine;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.Event;
-import loadbalancer.LoadBalancingEngine;
-import loadbalancer.wire.JsonFields;
-import loadbalancer.wire.MalformedInputException;
-import loadbalancer.wire.SettingsDecoder;
+import loadbalancer.config.JsonFields;
+import loadbalancer.config.MalformedInputException;
+import loadbalancer.config.SettingsDecoder;
+import loadbalancer.decision.LoadBalancingEngine;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.Event;
 
 /** The conversation: a batch of events a line in, a line of actions out; one module instance for each balancer. */
 final class SimulatorAdapter {
--- a/src/main/java/loadbalancer/serve/EventLoopLagMonitor.java
+++ b/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
@@ -1,7 +1,8 @@
-package loadbalancer.serve;
+package loadbalancer.telemetry;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.net.MonotonicClock;
 
 /**
  * How long what is read now may have lain unread because the event loop was held up. Guards the deadlines: a client's time runs
--- a/src/main/java/loadbalancer/serve/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.telemetry;
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Arrays;
@@ -6,7 +6,8 @@
 import java.util.function.LongFunction;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.proxy.ProxiedRequest;
 
 /**
  * What can be read afterwards: a line of figures for each second in which something was answered, and the course of some of
--- a/src/main/java/loadbalancer/serve/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -38,7 +38,9 @@
 import java.util.function.LongPredicate;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.downstream.DownstreamListener;
+import loadbalancer.net.DescriptorBudget;
 
 /** Connections to upstreams and the calls on them: one call a connection, one outcome a call, nothing sent again. */
 final class ConnectionPool {
--- a/src/main/java/loadbalancer/serve/IdleReusePolicy.java
+++ b/src/main/java/loadbalancer/upstream/IdleReusePolicy.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import java.util.concurrent.TimeUnit;
 
--- a/src/main/java/loadbalancer/serve/LoadReport.java
+++ b/src/main/java/loadbalancer/upstream/LoadReport.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.LinkedHashMap;
--- a/src/main/java/loadbalancer/serve/ResponseDecoder.java
+++ b/src/main/java/loadbalancer/upstream/ResponseDecoder.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
--- a/src/main/java/loadbalancer/serve/UpstreamCall.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamCall.java
@@ -1,10 +1,10 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.concurrent.Future;
 import java.util.function.BooleanSupplier;
-import loadbalancer.DecisionEngine.AttemptStatus;
+import loadbalancer.decision.api.AttemptStatus;
 
 /** One request on its way to an upstream; it ends exactly once. */
 final class UpstreamCall {
--- a/src/main/java/loadbalancer/serve/UpstreamChannel.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamChannel.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
--- a/src/test/java/loadbalancer/AdmissionTest.java
+++ b/src/test/java/loadbalancer/decision/AdmissionTest.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -6,14 +6,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.DedupScope;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.DecisionEngine.Tenant;
-import loadbalancer.SlidingWindow.Metric;
+import loadbalancer.decision.SlidingWindow.Metric;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.Tenant;
 import org.junit.jupiter.api.Test;
 
 /** The straight line, its window and what it is fed with. */
--- a/src/test/java/loadbalancer/EngineDriver.java
+++ b/src/test/java/loadbalancer/decision/EngineDriver.java
@@ -1,32 +1,33 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.AttemptEnded;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.DedupScope;
-import loadbalancer.DecisionEngine.Endpoint;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.Event;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.Limits;
-import loadbalancer.DecisionEngine.Prices;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.DecisionEngine.RequestClass;
-import loadbalancer.DecisionEngine.ServiceContract;
-import loadbalancer.DecisionEngine.SetTimer;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.DecisionEngine.Tenant;
-import loadbalancer.DecisionEngine.TimerFired;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.DecisionEngine.WeightKind;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.SetTimer;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.Event.TimerFired;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.Limits;
+import loadbalancer.decision.api.Prices;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.decision.api.ServiceContract;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.Tenant;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.decision.api.WeightKind;
 
 /** Drives one instance by hand: a clock, its timers, and the actions of the last step. */
 final class EngineDriver {
--- a/src/test/java/loadbalancer/PlacementTest.java
+++ b/src/test/java/loadbalancer/decision/PlacementTest.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -10,17 +10,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.CancelAttempt;
-import loadbalancer.DecisionEngine.DedupScope;
-import loadbalancer.DecisionEngine.Endpoint;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.CancelAttempt;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.UpdateKind;
 import org.junit.jupiter.api.Test;
 
 /** The ring, bounded load, room, silence, cold upstreams and drains. */
--- a/src/test/java/loadbalancer/ServiceContractTest.java
+++ b/src/test/java/loadbalancer/decision/ServiceContractTest.java
@@ -1,4 +1,4 @@
-package loadbalancer;
+package loadbalancer.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -6,18 +6,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.DedupScope;
-import loadbalancer.DecisionEngine.Endpoint;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.FailRequest;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.ResponseStarted;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.DecisionEngine.WatchEndpoints;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.Action.WatchEndpoints;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event.ResponseStarted;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.UpdateKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/src/test/java/loadbalancer/serve/MisbehavingClientTest.java
+++ b/src/test/java/loadbalancer/downstream/MisbehavingClientTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.downstream;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -11,7 +11,10 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import loadbalancer.serve.ProxyFixture.Client;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/loadbalancer/serve/RoundingIoHandlerTest.java
+++ b/src/test/java/loadbalancer/net/RoundingIoHandlerTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.net;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,6 +11,8 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import loadbalancer.proxy.ProxyServer;
+import loadbalancer.testing.ProxyFixture;
 import org.junit.jupiter.api.Test;
 
 /** How the event loop waits. */
--- a/src/test/java/loadbalancer/serve/GracefulShutdownTest.java
+++ b/src/test/java/loadbalancer/proxy/GracefulShutdownTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -12,10 +12,12 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.serve.ProxyFixture.Client;
-import loadbalancer.serve.ProxyFixture.ScriptedEngine;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
--- a/src/test/java/loadbalancer/serve/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/proxy/LargeFleetIT.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -20,6 +20,9 @@
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- a/src/test/java/loadbalancer/serve/ReloadTest.java
+++ b/src/test/java/loadbalancer/proxy/ReloadTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,13 +8,20 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.DecisionEngine.WatchEndpoints;
-import loadbalancer.serve.ProxyFixture.Client;
-import loadbalancer.serve.ProxyFixture.ScriptedEngine;
-import loadbalancer.wire.MalformedInputException;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.config.MalformedInputException;
+import loadbalancer.decision.api.Action.WatchEndpoints;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.discovery.EndpointList;
+import loadbalancer.net.MonotonicClock;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
--- a/src/test/java/loadbalancer/serve/StartupTest.java
+++ b/src/test/java/loadbalancer/proxy/StartupTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -12,12 +12,17 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.Settings;
-import loadbalancer.DecisionEngine.UpdateKind;
-import loadbalancer.serve.ProxyFixture.ScriptedEngine;
-import loadbalancer.serve.WarmUp.Count;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.DiscoveryClient;
+import loadbalancer.proxy.WarmUp.Count;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
--- a/src/test/java/loadbalancer/drill/SimulatorAdapterTest.java
+++ b/src/test/java/loadbalancer/simulator/SimulatorAdapterTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.drill;
+package loadbalancer.simulator;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -11,18 +11,18 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
-import loadbalancer.DecisionEngine;
-import loadbalancer.DecisionEngine.CancelAttempt;
-import loadbalancer.DecisionEngine.CheckHealth;
-import loadbalancer.DecisionEngine.CloseIdleConnections;
-import loadbalancer.DecisionEngine.FailRequest;
-import loadbalancer.DecisionEngine.FetchEndpoints;
-import loadbalancer.DecisionEngine.RejectRequest;
-import loadbalancer.DecisionEngine.SendGossip;
-import loadbalancer.DecisionEngine.SetTimer;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.DecisionEngine.WatchEndpoints;
-import loadbalancer.wire.MalformedInputException;
+import loadbalancer.config.MalformedInputException;
+import loadbalancer.decision.api.Action.CancelAttempt;
+import loadbalancer.decision.api.Action.CheckHealth;
+import loadbalancer.decision.api.Action.CloseIdleConnections;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.FetchEndpoints;
+import loadbalancer.decision.api.Action.LogMessage;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.SendGossip;
+import loadbalancer.decision.api.Action.SetTimer;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.Action.WatchEndpoints;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -95,7 +95,7 @@
       ActionEncoder.write(g, new CheckHealth(7));
       ActionEncoder.write(g, new CloseIdleConnections(7));
       ActionEncoder.write(g, new SendGossip(-1, "hi 7".getBytes(StandardCharsets.UTF_8)));
-      ActionEncoder.write(g, new DecisionEngine.LogMessage("x"));
+      ActionEncoder.write(g, new LogMessage("x"));
       g.writeEndArray();
     }
     assertEquals("[{\"Deliver\":{\"rid\":\"a\",\"patience-ns\":5,\"upstream\":7}},"
--- a/src/test/java/loadbalancer/serve/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.telemetry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -14,10 +14,12 @@
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import loadbalancer.DecisionEngine.AttemptStatus;
-import loadbalancer.DecisionEngine.DedupScope;
-import loadbalancer.DecisionEngine.Idempotence;
-import loadbalancer.DecisionEngine.RequestClass;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.RequestClass;
+import loadbalancer.proxy.ProxiedRequest;
+import loadbalancer.upstream.UpstreamCall;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/loadbalancer/serve/DiscoveryMessages.java
+++ b/src/test/java/loadbalancer/testing/DiscoveryMessages.java
@@ -1,8 +1,11 @@
-package loadbalancer.serve;
+package loadbalancer.testing;
 
 import java.util.List;
-import loadbalancer.DecisionEngine.EndpointState;
-import loadbalancer.DecisionEngine.UpdateKind;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.discovery.EndpointList;
+import loadbalancer.net.MonotonicClock;
 
 /** What discovery says, and the numbers that its names get. */
 final class DiscoveryMessages {
--- a/src/test/java/loadbalancer/serve/FakeServer.java
+++ b/src/test/java/loadbalancer/testing/FakeServer.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.testing;
 
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
--- a/src/test/java/loadbalancer/serve/ProxyFixture.java
+++ b/src/test/java/loadbalancer/testing/ProxyFixture.java
@@ -1,4 +1,4 @@
-package loadbalancer.serve;
+package loadbalancer.testing;
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
@@ -16,16 +16,18 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import loadbalancer.DecisionEngine;
-import loadbalancer.DecisionEngine.Action;
-import loadbalancer.DecisionEngine.AttemptEnded;
-import loadbalancer.DecisionEngine.Endpoint;
-import loadbalancer.DecisionEngine.EndpointListUpdate;
-import loadbalancer.DecisionEngine.Event;
-import loadbalancer.DecisionEngine.FailRequest;
-import loadbalancer.DecisionEngine.RequestArrived;
-import loadbalancer.DecisionEngine.StartAttempt;
-import loadbalancer.LoadBalancingEngine;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.LoadBalancingEngine;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.Event;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.proxy.ProxyServer;
 
 /** A balancer on ephemeral loopback ports, with its decisions scripted or real, and clients for it. */
 final class ProxyFixture implements AutoCloseable {
--- a/src/test/java/loadbalancer/serve/IdleReusePolicyTest.java
+++ b/src/test/java/loadbalancer/upstream/IdleReusePolicyTest.java
@@ -1,11 +1,13 @@
-package loadbalancer.serve;
+package loadbalancer.upstream;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.TimeUnit;
-import loadbalancer.serve.ProxyFixture.Client;
-import loadbalancer.serve.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
