--- a/src/main/java/loadbalancer/config/BalancerConfig.java
+++ b/src/main/java/loadbalancer/config/BalancerConfig.java
@@ -1,10 +1,11 @@
 package loadbalancer.config;
 
+import loadbalancer.net.SocketAddresses;
+import loadbalancer.json.MalformedInputException;
+import loadbalancer.json.JsonFields;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -22,7 +23,7 @@
  * @param idleNanos after this an upstream may close a connection that stands idle
  * @param loadReports whether upstreams report their load
  */
-record BalancerConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
+public record BalancerConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
     InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, EndpointList known,
     Settings settings, long idleNanos, boolean loadReports) {
 
@@ -34,7 +35,7 @@
    * Reads the file that the environment names. The file comes first, the environment states only what it lacks: the file
    * may have been replaced since the program was started, its environment never is.
    */
-  static BalancerConfig read(Map<String, String> environment) throws IOException {
+  public static BalancerConfig read(Map<String, String> environment) throws IOException {
     String path = environment.get("ROUTER_CONFIG");
     if (path == null) {
       throw new MalformedInputException("ROUTER_CONFIG is not set");
@@ -42,12 +43,12 @@
     return parse(Files.readString(Path.of(path)), environment);
   }
 
-  static BalancerConfig parse(String text, Map<String, String> environment) throws IOException {
+  public static BalancerConfig parse(String text, Map<String, String> environment) throws IOException {
     JsonFields f = JsonFields.parse(new JsonFactory(), "config", text);
     List<InetSocketAddress> peers = new ArrayList<>();
     if (f.has("peers")) {
       for (String peer : f.texts("peers")) {
-        peers.add(address("peers", peer));
+        peers.add(SocketAddresses.parse("peers", peer));
       }
     }
     if (!f.has("settings")) {
@@ -56,12 +57,12 @@
     JsonFields settings = f.nested("settings");
     return new BalancerConfig(
         text(f, "name", environment.get("ROUTER_NAME")),
-        address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
-        address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
+        SocketAddresses.parse("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
+        SocketAddresses.parse("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
         seed(f.text("seed")), (int) f.nested("limits").integer("sockets", SOCKETS),
         f.nested("limits").integer("memory_mb", MEMORY_MB) << 20,
-        f.has("peer_listen") ? address("peer_listen", f.text("peer_listen")) : null, peers,
-        f.has("peers_all") ? address("peers_all", f.text("peers_all")) : null,
+        f.has("peer_listen") ? SocketAddresses.parse("peer_listen", f.text("peer_listen")) : null, peers,
+        f.has("peers_all") ? SocketAddresses.parse("peers_all", f.text("peers_all")) : null,
         f.has("known") ? EndpointList.parse(f.nested("known")) : EndpointList.NONE,
         SettingsDecoder.settings(settings), settings.nested("limits").integer("conn-idle-ns", IDLE_NANOS),
         !settings.nested("report").text("how", "none").equals("none"));
@@ -72,7 +73,7 @@
   }
 
   /** What a file that can't be used lacks, in one line. */
-  static String complaint(Exception e) {
+  public static String complaint(Exception e) {
     String what = e instanceof MalformedInputException || e instanceof IllegalArgumentException ? e.getMessage()
         : e instanceof JsonProcessingException j ? "configuration: not JSON: " + j.getOriginalMessage() : e.toString();
     return what.lines().findFirst().orElse("");
@@ -85,18 +86,4 @@
       throw new MalformedInputException("field config.seed: expected up to 16 hex digits, got \"" + hex + "\"");
     }
   }
-
-  /** An address in figures, such as 10.0.0.4:8000 or [::1]:8000; there is no DNS. */
-  static InetSocketAddress address(String name, String text) {
-    int colon = text.lastIndexOf(':');
-    byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-    try {
-      if (host != null) {
-        return new InetSocketAddress(InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
-      }
-    } catch (IOException | IllegalArgumentException e) {
-      // Worded below, like an address without a port.
-    }
-    throw new MalformedInputException("field " + name + ": expected an address and a port, got \"" + text + "\"");
-  }
 }
--- a/src/main/java/loadbalancer/config/SettingsDecoder.java
+++ b/src/main/java/loadbalancer/config/SettingsDecoder.java
@@ -1,5 +1,6 @@
 package loadbalancer.config;
 
+import loadbalancer.json.JsonFields;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -28,13 +28,12 @@
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
-import loadbalancer.config.JsonFields;
-import loadbalancer.config.MalformedInputException;
+import loadbalancer.json.JsonFields;
+import loadbalancer.json.MalformedInputException;
 import loadbalancer.decision.api.UpdateKind;
-import loadbalancer.proxy.RequestDispatcher;
 
 /** Asks discovery for the list of upstreams, once or as a watch on its changes, and says when that fails. */
-final class DiscoveryClient implements RequestDispatcher.ListSource {
+public final class DiscoveryClient implements EndpointSource {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
 
@@ -48,7 +47,7 @@
   /** Whatever failed before, a change counts as told so long after discovery had it and could be reached. */
   static final long TOLD_MILLIS = 6000;
   /** An agent on this machine answers at once: a watch to it without a first list after this is dead from the start. */
-  static final long AGENT_MILLIS = 750;
+  public static final long AGENT_MILLIS = 750;
   /**
    * Where lists are asked for, calls wait in turn: the first list may take so long, and twice that after every call that was given
    * up, as long as silence may last at most. Who gave up as soon each time would never get through a long queue.
@@ -74,7 +73,7 @@
   private int givenUp;
 
   /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
-  DiscoveryClient(Bootstrap bootstrap, InetSocketAddress address, boolean pushed, LongSupplier revision,
+  public DiscoveryClient(Bootstrap bootstrap, InetSocketAddress address, boolean pushed, LongSupplier revision,
       BiConsumer<UpdateKind, EndpointList> news) {
     this.bootstrap = bootstrap;
     this.address = address;
@@ -89,7 +88,7 @@
   }
 
   /** Discovery has another address: what is watched is watched there from now on, and the old connection ends. */
-  void move(InetSocketAddress to) {
+  public void move(InetSocketAddress to) {
     if (!to.equals(address)) {
       address = to;
       givenUp = 0;
@@ -111,7 +110,7 @@
   }
 
   /** Watches again, if a watch is wanted and none stands. */
-  void resume() {
+  public void resume() {
     if (watching && watch == null) {
       watch(true);
     }
--- a/src/main/java/loadbalancer/discovery/EndpointDirectory.java
+++ b/src/main/java/loadbalancer/discovery/EndpointDirectory.java
@@ -14,7 +14,7 @@
 import loadbalancer.net.MonotonicClock;
 
 /** The upstreams as discovery last named them: the module's numbers, addresses and states. */
-final class EndpointDirectory {
+public final class EndpointDirectory {
 
   private final MonotonicClock clock;
   private final Map<String, Long> numbers = new HashMap<>();
@@ -22,38 +22,38 @@
   private final List<Long> restarted = new ArrayList<>();
   private long revision;
 
-  EndpointDirectory(MonotonicClock clock) {
+  public EndpointDirectory(MonotonicClock clock) {
     this.clock = clock;
   }
 
   /** The version of the list that is held. */
-  long revision() {
+  public long revision() {
     return revision;
   }
 
   /** Where an upstream listens; null for one that is not on the list. */
-  SocketAddress address(long upstream) {
+  public SocketAddress address(long upstream) {
     Member server = servers.get(upstream);
     return server == null ? null : server.address();
   }
 
   /** Its name on the list; its number in hex for one that has left. */
-  String name(long upstream) {
+  public String name(long upstream) {
     Member server = servers.get(upstream);
     return server == null ? Long.toHexString(upstream) : server.id();
   }
 
-  boolean isReady(long upstream) {
+  public boolean isReady(long upstream) {
     Member server = servers.get(upstream);
     return server != null && server.state() == EndpointState.READY;
   }
 
-  boolean hasReady() {
+  public boolean hasReady() {
     return servers.values().stream().anyMatch(s -> s.state() == EndpointState.READY);
   }
 
   /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
-  EndpointListUpdate take(UpdateKind kind, EndpointList list) {
+  public EndpointListUpdate take(UpdateKind kind, EndpointList list) {
     restarted.clear();
     if (!isNews(kind, list)) {
       return new EndpointListUpdate(UpdateKind.DELTA, List.of());
@@ -83,7 +83,7 @@
   }
 
   /** Upstreams that, by the list last taken in, are another process than before. */
-  List<Long> restarted() {
+  public List<Long> restarted() {
     return restarted;
   }
 
@@ -98,7 +98,7 @@
   }
 
   /** The list as it is held, for a module that starts anew. */
-  EndpointListUpdate held() {
+  public EndpointListUpdate held() {
     List<Endpoint> entries = new ArrayList<>();
     servers.forEach((number, server) -> entries.add(listed(number, server)));
     return new EndpointListUpdate(UpdateKind.CACHED, entries);
--- a/src/main/java/loadbalancer/downstream/DownstreamListener.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamListener.java
@@ -1,5 +1,6 @@
 package loadbalancer.downstream;
 
+import loadbalancer.http.HttpProtocol;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -51,28 +52,14 @@
 import loadbalancer.downstream.ClientConnections.State;
 import loadbalancer.net.DescriptorBudget;
 import loadbalancer.net.MonotonicClock;
-import loadbalancer.proxy.ProxiedRequest;
-import loadbalancer.proxy.RequestDispatcher;
 import loadbalancer.telemetry.EventLoopLagMonitor;
 import loadbalancer.upstream.ConnectionPool;
 
 /** The clients' side: takes requests in, hands them to the node, and writes the final answers. */
-final class DownstreamListener {
+public final class DownstreamListener {
 
   private static final Logger LOG = Logger.getLogger(DownstreamListener.class.getName());
 
-  static final String EXPIRES = "X-Expires-In-Ms";
-  static final String HEALTH = "/healthz";
-  /** The largest body either way. */
-  static final int MOST_BODY = 64 * 1024;
-  static final String API = "/api";
-  static final String ID = "X-Trace-Id";
-  static final String CLASS = "X-Qos";
-  static final String TENANT = "X-Customer";
-  private static final String RETRY = "X-Second-Try";
-  static final String HINT = "X-Size-Hint";
-  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
-  static final String KEY_COOKIE = "sid";
   /** The most digits of a header that is a whole number: more would not be a time or an amount of work. */
   private static final int MOST_DIGITS = 9;
   private static final long MOST_MILLIS = 1_000_000_000L;
@@ -86,7 +73,7 @@
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
   private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  private final RequestDispatcher node;
+  private final RequestHandler handler;
   private final MonotonicClock clock;
   private final EventLoopLagMonitor pulse;
   private final DescriptorBudget sockets;
@@ -102,8 +89,8 @@
   private boolean closing;
 
   /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
-  DownstreamListener(RequestDispatcher node, MonotonicClock clock, EventLoopLagMonitor pulse, DescriptorBudget sockets, ConnectionPool pool, Settings settings, long mostHeld) {
-    this.node = node;
+  public DownstreamListener(RequestHandler handler, MonotonicClock clock, EventLoopLagMonitor pulse, DescriptorBudget sockets, ConnectionPool pool, Settings settings, long mostHeld) {
+    this.handler = handler;
     this.clock = clock;
     this.pulse = pulse;
     this.sockets = sockets;
@@ -113,7 +100,7 @@
     this.bodies = new RequestAggregator.Budget(mostHeld);
   }
 
-  ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
+  public ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
     ChannelFuture bound = bootstrap.clone().childHandler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
@@ -131,17 +118,17 @@
   }
 
   /** From here on {@code /healthz} may say that this balancer serves. */
-  void ready() {
+  public void ready() {
     ready = true;
   }
 
   /** From here on {@code /healthz} sends clients elsewhere. */
-  void stopping() {
+  public void stopping() {
     stopping = true;
   }
 
   /** New connections are refused. What the machine has accepted counts as taken, and is: to close over it would be a reset. */
-  void acceptNoMore() {
+  public void acceptNoMore() {
     long before;
     do {
       before = accepted;
@@ -151,17 +138,17 @@
   }
 
   /** From here on every answer closes its connection; those that are owed nothing are closed. */
-  void close() {
+  public void close() {
     closing = true;
     clients.closeUnasked();
   }
 
   /** The process is about to end: who has not sent a whole request by now is told that it is too late. */
-  void end() {
+  public void end() {
     clients.hurry();
   }
 
-  int connections() {
+  public int connections() {
     return clients.count();
   }
 
@@ -180,7 +167,7 @@
 
   /** One client's connection: a request at a time, those that come early wait for their turn. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest>
-      implements ClientConnections.Client, ProxiedRequest.Reply {
+      implements ClientConnections.Client, ResponseSink {
 
     private final Channel channel;
     private final RequestAggregator reader;
@@ -193,7 +180,7 @@
     private boolean begun;
     /** Bytes of the body of the request that is served. */
     private int size;
-    private ProxiedRequest exchange;
+    private DownstreamRequest exchange;
     /** The client has ended its sending. */
     private boolean left;
 
@@ -261,7 +248,7 @@
       deaf = true;
       left = true;
       if (exchange != null) {
-        node.clientLeft(exchange);
+        handler.clientHalfClosed(exchange.traceId());
       }
     }
 
@@ -276,7 +263,7 @@
 
     private void gone() {
       if (exchange != null) {
-        node.clientGone(exchange);
+        handler.clientDisconnected(exchange.traceId());
         exchange = null;
       }
     }
@@ -335,10 +322,10 @@
       String path = query < 0 ? uri : uri.substring(0, query);
       if (!request.decoderResult().isSuccess()) {
         answer(status(request.decoderResult().cause()), "malformed request");
-      } else if (path.equals(HEALTH)) {
-        boolean serves = ready && !stopping && node.canServe();
+      } else if (path.equals(HttpProtocol.HEALTH_PATH)) {
+        boolean serves = ready && !stopping && handler.canServe();
         answer(serves ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, serves ? "ok" : "not serving");
-      } else if (!path.equals(API)) {
+      } else if (!path.equals(HttpProtocol.API_PATH)) {
         answer(HttpResponseStatus.NOT_FOUND, "no such path");
       } else if (!request.method().equals(HttpMethod.GET) && !request.method().equals(HttpMethod.POST)) {
         answer(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET and POST only");
@@ -349,44 +336,44 @@
 
     private void serve(FullHttpRequest request) {
       HttpHeaders headers = request.headers();
-      String id = headers.get(ID, "");
-      String tenant = headers.get(TENANT);
-      RequestClass type = classes.get(headers.get(CLASS, ""));
-      long expires = headers.contains(EXPIRES) ? wholeNumber(headers.get(EXPIRES)) : Long.MAX_VALUE;
+      String id = headers.get(HttpProtocol.TRACE_ID_HEADER, "");
+      String tenant = headers.get(HttpProtocol.TENANT_HEADER);
+      RequestClass type = classes.get(headers.get(HttpProtocol.CLASS_HEADER, ""));
+      long expires = headers.contains(HttpProtocol.TIMEOUT_HEADER) ? wholeNumber(headers.get(HttpProtocol.TIMEOUT_HEADER)) : Long.MAX_VALUE;
       if (id.isEmpty() || id.length() > MOST_NAME) {
-        answer(HttpResponseStatus.BAD_REQUEST, ID + " is missing or too long");
+        answer(HttpResponseStatus.BAD_REQUEST, HttpProtocol.TRACE_ID_HEADER + " is missing or too long");
       } else if (type == null) {
-        answer(HttpResponseStatus.BAD_REQUEST, CLASS + " names no known class");
+        answer(HttpResponseStatus.BAD_REQUEST, HttpProtocol.CLASS_HEADER + " names no known class");
       } else if (tenant != null && !tenants.isEmpty() && !tenants.contains(tenant)) {
-        answer(HttpResponseStatus.BAD_REQUEST, TENANT + " names no known tenant");
+        answer(HttpResponseStatus.BAD_REQUEST, HttpProtocol.TENANT_HEADER + " names no known tenant");
       } else if (tenant != null && tenant.length() > MOST_NAME) {
-        answer(HttpResponseStatus.BAD_REQUEST, TENANT + " is too long");
+        answer(HttpResponseStatus.BAD_REQUEST, HttpProtocol.TENANT_HEADER + " is too long");
       } else if (expires < 0) {
-        answer(HttpResponseStatus.BAD_REQUEST, EXPIRES + " is not a number of milliseconds");
-      } else if (type.idempotence() == Idempotence.IDEMPOTENCY_KEY && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
+        answer(HttpResponseStatus.BAD_REQUEST, HttpProtocol.TIMEOUT_HEADER + " is not a number of milliseconds");
+      } else if (type.idempotence() == Idempotence.IDEMPOTENCY_KEY && headers.get(HttpProtocol.IDEMPOTENCY_KEY_HEADER, "").isEmpty()) {
         // Guards a keyed class: without the key no upstream could drop a repeat.
-        answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
-      } else if (node.isOpen(id)) {
+        answer(HttpResponseStatus.BAD_REQUEST, HttpProtocol.IDEMPOTENCY_KEY_HEADER + " is missing");
+      } else if (handler.isInFlight(id)) {
         // Guards the client whose request it is, and its effect.
-        answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
+        answer(HttpResponseStatus.CONFLICT, HttpProtocol.TRACE_ID_HEADER + " is that of a request in hand");
       } else if (left) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "its client has left");
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
         long unread = pulse.behindNanos();
-        long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
-        exchange = new ProxiedRequest(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
-            "1".equals(headers.get(RETRY)), clock.now() - unread + wait - WAY_NANOS, request.retain(), this);
-        exchange.unreadNanos = unread;
-        node.take(exchange);
+        long hint = Math.max(0, wholeNumber(headers.get(HttpProtocol.WORK_HINT_HEADER, "0")));
+        exchange = new DownstreamRequest(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
+            "1".equals(headers.get(HttpProtocol.RETRY_HEADER)), clock.now() - unread + wait - WAY_NANOS, unread,
+            request.retain(), this);
+        handler.accept(exchange);
       }
     }
 
     private String key(HttpHeaders headers) {
       for (String header : headers.getAll(HttpHeaderNames.COOKIE)) {
         for (Cookie cookie : ServerCookieDecoder.LAX.decode(header)) {
-          if (cookie.name().equals(KEY_COOKIE)) {
+          if (cookie.name().equals(HttpProtocol.AFFINITY_COOKIE)) {
             // Guards the memory: keys are kept, and a long one counts by its hash.
             String value = cookie.value();
             return value.length() <= MOST_NAME ? value : Integer.toHexString(value.hashCode());
@@ -398,7 +385,7 @@
 
     private void answer(HttpResponseStatus status, String text) {
       ByteBuf content = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
-      answer(status, 0, "text/plain", content);
+      respond(status, 0, "text/plain", content);
       content.release();
     }
 
@@ -412,7 +399,7 @@
     }
 
     @Override
-    public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
+    public void respond(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
       exchange = null;
       FullHttpResponse response =
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content.retainedDuplicate());
--- a/src/main/java/loadbalancer/downstream/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -1,5 +1,6 @@
 package loadbalancer.downstream;
 
+import loadbalancer.http.HttpProtocol;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -38,7 +39,7 @@
 
   /** {@code busy} tells whether an earlier request on the connection is still to be answered. */
   RequestAggregator(Budget budget, BooleanSupplier busy) {
-    super(DownstreamListener.MOST_BODY);
+    super(HttpProtocol.MAX_BODY_BYTES);
     this.budget = budget;
     this.busy = busy;
   }
@@ -51,7 +52,7 @@
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, DownstreamListener.API);
+    FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, HttpProtocol.API_PATH);
     failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
     context.fireChannelRead(failed);
   }
--- /dev/null
+++ b/src/main/java/loadbalancer/downstream/RequestHandler.java
@@ -0,0 +1,20 @@
+package loadbalancer.downstream;
+
+/** Takes over the requests that the listener has received. */
+public interface RequestHandler {
+
+  /** Accepts a request; it gets exactly one final response, possibly before this returns. */
+  void accept(DownstreamRequest request);
+
+  /** The client of a request without a response has closed its connection; none is owed any more. */
+  void clientDisconnected(String traceId);
+
+  /** The client of a request without a response has ended its sending, and may or may not still read. */
+  void clientHalfClosed(String traceId);
+
+  /** Whether a request with this trace id is in flight, or an attempt of it is. */
+  boolean isInFlight(String traceId);
+
+  /** Whether a request that arrived now could be served. */
+  boolean canServe();
+}
--- a/src/main/java/loadbalancer/gossip/GossipChannel.java
+++ b/src/main/java/loadbalancer/gossip/GossipChannel.java
@@ -14,10 +14,9 @@
 import java.util.List;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import loadbalancer.proxy.RequestDispatcher;
 
 /** Datagrams from and to the other balancers: late, lost or sound, never answered for. */
-final class GossipChannel implements RequestDispatcher.PeerSender {
+public final class GossipChannel implements GossipSender {
 
   private static final Logger LOG = Logger.getLogger(GossipChannel.class.getName());
 
@@ -26,21 +25,21 @@
   private final InetSocketAddress all;
   private Channel channel;
 
-  GossipChannel(int me, List<InetSocketAddress> peers, InetSocketAddress all) {
+  public GossipChannel(int me, List<InetSocketAddress> peers, InetSocketAddress all) {
     this.me = me;
     this.peers = peers;
     this.all = all;
   }
 
   /** Binds, and hands what comes from a known peer to the node. */
-  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, RequestDispatcher node) {
+  public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, GossipReceiver receiver) {
     ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
         .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
           @Override
           protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             int from = peers.indexOf(packet.sender());
             if (from >= 0 && from != me) {
-              node.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
+              receiver.receive(from, ByteBufUtil.getBytes(packet.content()));
             }
           }
 
@@ -54,7 +53,7 @@
   }
 
   /** The port bound, for a balancer that let the system choose. */
-  InetSocketAddress address() {
+  public InetSocketAddress address() {
     return (InetSocketAddress) channel.localAddress();
   }
 
--- a/src/main/java/loadbalancer/config/JsonFields.java
+++ b/src/main/java/loadbalancer/json/JsonFields.java
@@ -1,4 +1,4 @@
-package loadbalancer.config;
+package loadbalancer.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/loadbalancer/config/MalformedInputException.java
+++ b/src/main/java/loadbalancer/json/MalformedInputException.java
@@ -1,4 +1,4 @@
-package loadbalancer.config;
+package loadbalancer.json;
 
 /** Malformed input; the message says what was wrong and, once known, on which line. */
 public final class MalformedInputException extends RuntimeException {
--- a/src/main/java/loadbalancer/net/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/net/DescriptorBudget.java
@@ -4,7 +4,7 @@
 import io.netty.channel.nio.AbstractNioChannel;
 
 /** Counts the open sockets against what the process may hold. */
-final class DescriptorBudget {
+public final class DescriptorBudget {
 
   /** Descriptors of the process itself: jar, standard streams, selector, listeners, discovery before and after a move. */
   private static final int OWN = 24;
@@ -20,35 +20,35 @@
   private final int most;
   private int open;
 
-  DescriptorBudget(int limit) {
+  public DescriptorBudget(int limit) {
     this.limit = limit;
     most = limit - OWN - SPARE;
   }
 
   /** Reads what has come on a connection, without waiting for the event loop to. */
-  static void look(Channel channel) {
+  public static void look(Channel channel) {
     if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
       unsafe.read();
     }
   }
 
-  void opened(Channel channel) {
+  public void opened(Channel channel) {
     open++;
     channel.closeFuture().addListener(f -> open--);
   }
 
   /** Whether one more may be opened. */
-  boolean hasRoom() {
+  public boolean hasRoom() {
     return open < most;
   }
 
   /** Whether the spare ones are nearly gone as well. */
-  boolean isFull() {
+  public boolean isFull() {
     return open > limit - OWN - SPARE / 2;
   }
 
   /** How many connections of clients may be kept. */
-  int forClients() {
+  public int forClients() {
     return (int) (most * CLIENT_PART);
   }
 }
--- a/src/main/java/loadbalancer/net/MonotonicClock.java
+++ b/src/main/java/loadbalancer/net/MonotonicClock.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** The one clock of a balancer: monotonic, with an origin that leaves room for upstreams older than the process. */
-final class MonotonicClock {
+public final class MonotonicClock {
 
   /** An upstream up for longer counts as up for this long: no module asks for the difference. */
   private static final long ORIGIN = TimeUnit.DAYS.toNanos(1);
@@ -11,7 +11,7 @@
   private final long startNanos = System.nanoTime();
   private final long startMillis = System.currentTimeMillis();
 
-  long now() {
+  public long now() {
     return ORIGIN + System.nanoTime() - startNanos;
   }
 
@@ -19,7 +19,7 @@
    * The clock reading at a Unix time; 0, long ago, stays 0. The distance between the two clocks is taken once: were it
    * taken anew, a drift of the wall clock would look like a restart of every upstream on the list.
    */
-  long atUnixMillis(long millis) {
+  public long atUnixMillis(long millis) {
     return millis <= 0 ? 0 : Math.max(1, ORIGIN + TimeUnit.MILLISECONDS.toNanos(millis - startMillis));
   }
 }
--- a/src/main/java/loadbalancer/net/RoundingIoHandler.java
+++ b/src/main/java/loadbalancer/net/RoundingIoHandler.java
@@ -12,7 +12,7 @@
  * nearest: with less than half of one left it does not sleep but looks at the sockets again and again, for as long as that lasts.
  * Guards the processor time, of which a balancer has a part of a core. A timer comes up to a millisecond late for it.
  */
-final class RoundingIoHandler implements IoHandler {
+public final class RoundingIoHandler implements IoHandler {
 
   private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
 
@@ -24,7 +24,7 @@
   }
 
   /** The factory of such handlers around those of another. */
-  static IoHandlerFactory around(IoHandlerFactory factory) {
+  public static IoHandlerFactory around(IoHandlerFactory factory) {
     return executor -> new RoundingIoHandler(factory.newHandler(executor));
   }
 
--- a/src/main/java/loadbalancer/proxy/ProxiedRequest.java
+++ b/src/main/java/loadbalancer/proxy/ProxiedRequest.java
@@ -1,5 +1,9 @@
 package loadbalancer.proxy;
 
+import loadbalancer.telemetry.TracedAttempt;
+import loadbalancer.telemetry.TracedRequest;
+import loadbalancer.downstream.DownstreamRequest;
+import loadbalancer.http.HttpProtocol;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -21,72 +25,95 @@
 import loadbalancer.upstream.UpstreamCall;
 
 /** A client's request in hand, from when it is taken until it is answered and its last attempt has ended. */
-final class ProxiedRequest {
+public final class ProxiedRequest implements TracedRequest {
 
   /** Headers that speak of one connection, not of the request. */
   private static final List<AsciiString> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
       AsciiString.cached("keep-alive"), AsciiString.cached("proxy-connection"), HttpHeaderNames.TE,
       HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT);
 
-  /** Where the one final answer goes. */
-  interface Reply {
-    /** Gives it to the client; a no-op where the client is gone. The content stays the caller's. */
-    void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content);
-
-    /** Whether the client has not left, by all that has come from it up to now. */
-    boolean isAwaited();
-  }
-
-  /** The client's id: no two requests in hand have the same. */
-  final String traceId;
-  /** What the module is told of it; the id is given by the node, for a client may use its own again. */
-  final RequestClass type;
-  final String tenant;
-  final String key;
-  final long hintNanos;
-  final boolean retry;
-  /** When the client gives up, less the way back to it. */
-  final long deadline;
-  final List<Attempt> attempts = new ArrayList<>(1);
-  String id;
-  long takenAt;
-  /** How long it may have lain unread by then, because the event loop was held up. */
-  long unreadNanos;
+  private final DownstreamRequest request;
+  private final List<Attempt> attempts = new ArrayList<>(1);
+  /** What the decision engine knows it by: a client may use its own trace id again. */
+  public String id;
+  long acceptedAtNanos;
   Future<?> guard;
-  int outstanding;
-  /** Its client has ended its sending. */
-  boolean left;
-  private final FullHttpRequest request;
-  private final Reply reply;
+  int attemptsInFlight;
+  boolean clientHalfClosed;
   private boolean ended;
 
-  /** One sending. */
-  static final class Attempt {
+  /** One attempt at an endpoint. */
+  public static final class Attempt implements TracedAttempt {
     final int number;
-    final long sentAt;
+    final long startedAtNanos;
     UpstreamCall call;
-    /** How it ended and how long that took; no status while it is out. */
     AttemptStatus status;
-    long latency;
+    long latencyNanos;
 
-    Attempt(int number, long sentAt) {
+    Attempt(int number, long startedAtNanos) {
       this.number = number;
-      this.sentAt = sentAt;
+      this.startedAtNanos = startedAtNanos;
+    }
+
+    @Override
+    public long endpointId() {
+      return call.upstream;
+    }
+
+    @Override
+    public long startedAtNanos() {
+      return startedAtNanos;
+    }
+
+    @Override
+    public AttemptStatus status() {
+      return status;
+    }
+
+    @Override
+    public long latencyNanos() {
+      return latencyNanos;
     }
   }
 
   /** Takes over the request. */
-  ProxiedRequest(String traceId, RequestClass type, String tenant, String key, long hintNanos, boolean retry, long deadline,
-      FullHttpRequest request, Reply reply) {
-    this.traceId = traceId;
-    this.type = type;
-    this.tenant = tenant;
-    this.key = key;
-    this.hintNanos = hintNanos;
-    this.retry = retry;
-    this.deadline = deadline;
+  public ProxiedRequest(DownstreamRequest request) {
     this.request = request;
-    this.reply = reply;
+  }
+
+  /** What the client sent. */
+  DownstreamRequest downstream() {
+    return request;
+  }
+
+  @Override
+  public String traceId() {
+    return request.traceId();
+  }
+
+  @Override
+  public RequestClass requestClass() {
+    return request.requestClass();
+  }
+
+  @Override
+  public long acceptedAtNanos() {
+    return acceptedAtNanos;
+  }
+
+  @Override
+  public long deadlineNanos() {
+    return request.deadlineNanos();
+  }
+
+  @Override
+  public long unreadNanos() {
+    return request.unreadNanos();
+  }
+
+  @Override
+  public List<Attempt> attempts() {
+    return attempts;
   }
 
   /** Whether it has its answer, or the client has gone. */
@@ -95,15 +122,15 @@
   }
 
   /** Whether its client is there, and has not left since what was last read of it. */
-  boolean isAwaited() {
-    return !ended && !left && reply.isAwaited();
+  public boolean isAwaited() {
+    return !ended && !clientHalfClosed && request.response().isAwaited();
   }
 
   /** Ends it without an answer: the client has gone. */
   void abandon() {
     if (!ended) {
       ended = true;
-      request.release();
+      request.message().release();
       if (guard != null) {
         guard.cancel(false);
       }
@@ -123,32 +150,32 @@
   long repeatBy() {
     long by = Long.MAX_VALUE;
     for (Attempt a : attempts) {
-      if (type.idempotence() == Idempotence.IDEMPOTENCY_KEY && (a.status == null || !a.status.provesNotRun())) {
-        by = Math.min(by, a.sentAt + type.dedupWindowNanos());
+      if (requestClass().idempotence() == Idempotence.IDEMPOTENCY_KEY && (a.status == null || !a.status.provesNotRun())) {
+        by = Math.min(by, a.startedAtNanos + requestClass().dedupWindowNanos());
       }
     }
     return by;
   }
 
-  void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
+  public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
     abandon();
-    reply.answer(status, retryAfterNanos, contentType, content);
+    request.response().respond(status, retryAfterNanos, contentType, content);
   }
 
   /** The request as it goes to an upstream. */
   FullHttpRequest forward(long timeoutNanos) {
-    HttpHeaders headers = new DefaultHttpHeaders().set(request.headers());
-    for (String named : request.headers().getAll(HttpHeaderNames.CONNECTION)) {
+    HttpHeaders headers = new DefaultHttpHeaders().set(request.message().headers());
+    for (String named : request.message().headers().getAll(HttpHeaderNames.CONNECTION)) {
       for (String name : named.split(",")) {
         headers.remove(name.trim());
       }
     }
     HOP_BY_HOP.forEach(headers::remove);
-    headers.set(DownstreamListener.EXPIRES, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
-    if (request.content().isReadable()) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
+    headers.set(HttpProtocol.TIMEOUT_HEADER, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
+    if (request.message().content().isReadable()) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.message().content().readableBytes());
     }
-    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-        request.content().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
+    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.message().method(), request.message().uri(),
+        request.message().content().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
   }
 }
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -37,7 +37,7 @@
 import loadbalancer.upstream.UpstreamChannel;
 
 /** One balancer, from start to stop: wires the parts together on one event loop. */
-final class ProxyServer {
+public final class ProxyServer {
 
   private static final Logger LOG = Logger.getLogger(ProxyServer.class.getName());
 
@@ -94,7 +94,7 @@
   }
 
   /** What the event loop waits with. */
-  static IoHandlerFactory loops() {
+  public static IoHandlerFactory loops() {
     return RoundingIoHandler.around(NioIoHandler.newFactory());
   }
 
@@ -106,7 +106,7 @@
   }
 
   /** All of a start but listening: until then nobody is owed anything. */
-  static ProxyServer prepare(BalancerConfig config) {
+  public static ProxyServer prepare(BalancerConfig config) {
     return prepare(config, n -> new LoadBalancingEngine(config.settings(), config.seed() + n), LIST_MILLIS);
   }
 
@@ -114,7 +114,7 @@
    * The same around other decisions; {@code modules} makes the n-th module of this process. Waits so long for discovery's first
    * word: what it has told counts as told from the process's first moment, and the list that is known may be older.
    */
-  static ProxyServer prepare(BalancerConfig config, LongFunction<DecisionEngine> modules, long listMillis) {
+  public static ProxyServer prepare(BalancerConfig config, LongFunction<DecisionEngine> modules, long listMillis) {
     ProxyServer server = new ProxyServer(config);
     try {
       server.loop.submit(() -> server.wire(modules)).syncUninterruptibly();
@@ -131,7 +131,7 @@
   }
 
   /** Opens it to clients and to other balancers. */
-  void listen() {
+  public void listen() {
     try {
       if (config.peerListen() != null && config.settings().limits().gossip()) {
         peers.listen(group, config.peerListen(), node).syncUninterruptibly();
@@ -193,7 +193,7 @@
   }
 
   /** The longest wait before the agent is asked again after so many failures before the last. */
-  static long agentBackoffMillis(int failures) {
+  public static long agentBackoffMillis(int failures) {
     return Math.min(AGENT_RETRY_MOST_MILLIS, AGENT_RETRY_MILLIS << Math.min(failures, 10));
   }
 
@@ -220,7 +220,7 @@
     return frontend;
   }
 
-  InetSocketAddress address() {
+  public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
   }
 
@@ -230,7 +230,7 @@
   }
 
   /** Waits for the end of {@link #stop}. */
-  void await() {
+  public void await() {
     await(stopped, Long.MAX_VALUE);
   }
 
@@ -272,7 +272,7 @@
   }
 
   /** Ends at once, whatever is in hand. */
-  void shutDown() {
+  public void shutDown() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -1,5 +1,11 @@
 package loadbalancer.proxy;
 
+import loadbalancer.downstream.DownstreamRequest;
+import loadbalancer.downstream.RequestHandler;
+import loadbalancer.gossip.GossipReceiver;
+import loadbalancer.gossip.GossipSender;
+import loadbalancer.discovery.EndpointSource;
+import loadbalancer.http.HttpProtocol;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -13,10 +19,8 @@
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
@@ -60,7 +64,7 @@
  * Stands between the sockets and the decision module: words what happens on the first as the second's events, one at a
  * time, and carries out its actions in order. It decides nothing. All of it runs on one event loop.
  */
-final class RequestDispatcher {
+final class RequestDispatcher implements RequestHandler, GossipReceiver {
 
   private static final Logger LOG = Logger.getLogger(RequestDispatcher.class.getName());
 
@@ -76,12 +80,12 @@
   private final LongFunction<DecisionEngine> modules;
   private final EndpointDirectory fleet;
   private final ConnectionPool pool;
-  private final ListSource lists;
-  private final PeerSender peers;
+  private final EndpointSource lists;
+  private final GossipSender peers;
   private final RequestTrace trail;
   private final Map<String, ProxiedRequest> exchanges = new HashMap<>();
   /** The clients' ids of the same. */
-  private final Set<String> traceIds = new HashSet<>();
+  private final Map<String, ProxiedRequest> byTraceId = new HashMap<>();
   /** What has happened and the module has not been told; an entry is worded when its turn comes. */
   private final ArrayDeque<Supplier<Event>> queue = new ArrayDeque<>();
   private boolean scheduled;
@@ -90,21 +94,9 @@
   private long generation;
   private long taken;
 
-  /** Where the module's questions for the list go. */
-  interface ListSource {
-    void watch(boolean on);
-
-    void fetch();
-  }
-
-  /** Where the module's messages to other balancers go; -1 is all of them. */
-  interface PeerSender {
-    void send(int to, byte[] data);
-  }
-
   /** {@code modules} makes the n-th module of this process. */
   RequestDispatcher(EventLoop loop, MonotonicClock clock, Settings settings, boolean loadReports, LongFunction<DecisionEngine> modules, EndpointDirectory fleet,
-      ConnectionPool pool, ListSource lists, PeerSender peers) {
+      ConnectionPool pool, EndpointSource lists, GossipSender peers) {
     this.loop = loop;
     this.clock = clock;
     this.settings = settings;
@@ -121,27 +113,36 @@
   // ---- What happens --------------------------------------------------------------------------------------
 
   /** A client's request has come in whole. */
-  void take(ProxiedRequest x) {
+  @Override
+  public void accept(DownstreamRequest request) {
+    ProxiedRequest x = new ProxiedRequest(request);
     x.id = "r" + taken++;
-    x.takenAt = clock.now();
+    x.acceptedAtNanos = clock.now();
     if (ended) {
       refuse(x);
       return;
     }
     exchanges.put(x.id, x);
-    traceIds.add(x.traceId);
-    x.guard = loop.schedule(() -> overdue(x), x.deadline + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
+    byTraceId.put(x.traceId(), x);
+    x.guard = loop.schedule(() -> overdue(x), x.deadlineNanos() + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
     enqueue(() -> x.isEnded() ? null
-        : new RequestArrived(x.id, x.type.name(), x.tenant, x.key, x.deadline, x.hintNanos, x.retry));
+        : new RequestArrived(x.id, request.requestClass().name(), request.tenant(), request.affinityKey(), request.deadlineNanos(),
+            request.workHintNanos(), request.retry()));
   }
 
   /** Whether a request with this id of a client's is in hand, or an attempt of it is still out. */
-  boolean isOpen(String traceId) {
-    return traceIds.contains(traceId);
+  @Override
+  public boolean isInFlight(String traceId) {
+    return byTraceId.containsKey(traceId);
   }
 
   /** The client has closed its connection. */
-  void clientGone(ProxiedRequest x) {
+  @Override
+  public void clientDisconnected(String traceId) {
+    clientDisconnected(byTraceId.get(traceId));
+  }
+
+  private void clientDisconnected(ProxiedRequest x) {
     x.abandon();
     enqueue(() -> known(x) ? new ClientDisconnected(x.id) : null);
   }
@@ -150,15 +151,17 @@
    * The client has ended its sending, and most likely gone: from here on nothing is started for it. What waits for an upstream, a
    * connection or a retry ends at once; what is out may still bring the answer, in case that it listens.
    */
-  void clientLeft(ProxiedRequest x) {
-    if (x.isEnded() || x.left) {
+  @Override
+  public void clientHalfClosed(String traceId) {
+    ProxiedRequest x = byTraceId.get(traceId);
+    if (x.isEnded() || x.clientHalfClosed) {
       return;
     }
-    x.left = true;
+    x.clientHalfClosed = true;
     if (!x.isSent()) {
       refuse(x);
       enqueue(() -> known(x) ? new ClientDisconnected(x.id) : null);
-      x.attempts.forEach(a -> pool.cancel(a.call));
+      x.attempts().forEach(a -> pool.cancel(a.call));
     }
   }
 
@@ -171,7 +174,7 @@
   private void overdue(ProxiedRequest x) {
     if (!x.isEnded()) {
       answer(x, HttpResponseStatus.GATEWAY_TIMEOUT, 0, null, Unpooled.EMPTY_BUFFER);
-      clientGone(x);
+      clientDisconnected(x);
     }
   }
 
@@ -190,12 +193,14 @@
   }
 
   /** Another balancer has sent a message. */
-  void peerMessage(int from, byte[] data) {
+  @Override
+  public void receive(int from, byte[] data) {
     enqueue(() -> new GossipReceived(from, data));
   }
 
   /** Whether a request that came now could be served. */
-  boolean canServe() {
+  @Override
+  public boolean canServe() {
     return fleet.hasReady();
   }
 
@@ -215,7 +220,7 @@
     for (ProxiedRequest x : List.copyOf(exchanges.values())) {
       if (!x.isEnded()) {
         answer(x, HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, null, Unpooled.EMPTY_BUFFER);
-        clientGone(x);
+        clientDisconnected(x);
       }
     }
   }
@@ -262,11 +267,11 @@
       return;
     }
     for (ProxiedRequest x : List.copyOf(exchanges.values())) {
-      x.attempts.forEach(a -> pool.cancel(a.call));
+      x.attempts().forEach(a -> pool.cancel(a.call));
     }
     failAll();
     exchanges.clear();
-    traceIds.clear();
+    byTraceId.clear();
     queue.clear();
     module = modules.apply(++generation);
     EndpointListUpdate held = fleet.held();
@@ -278,9 +283,9 @@
   }
 
   private void forget(ProxiedRequest x) {
-    if (x != null && x.isEnded() && x.outstanding == 0) {
+    if (x != null && x.isEnded() && x.attemptsInFlight == 0) {
       exchanges.remove(x.id);
-      traceIds.remove(x.traceId);
+      byTraceId.remove(x.traceId());
     }
   }
 
@@ -292,7 +297,7 @@
     } else if (action instanceof CancelAttempt a) {
       ProxiedRequest x = exchanges.get(a.requestId());
       if (x != null) {
-        pool.cancel(x.attempts.get(a.attempt()).call);
+        pool.cancel(x.attempts().get(a.attempt()).call);
       }
     } else if (action instanceof RejectRequest a) {
       end(a.requestId(), HttpResponseStatus.TOO_MANY_REQUESTS, a.retryAfterNanos());
@@ -342,13 +347,13 @@
 
   private void send(ProxiedRequest x, StartAttempt send) {
     long now = clock.now();
-    Attempt attempt = new Attempt(x.attempts.size(), now);
+    Attempt attempt = new Attempt(x.attempts().size(), now);
     long repeatBy = x.repeatBy();
     attempt.call = new UpstreamCall(send.endpointId(), () -> isWanted(x, send.endpointId(), repeatBy),
         (status, answer) -> attemptEnded(x, attempt, status, answer));
-    x.attempts.add(attempt);
-    x.outstanding++;
-    long left = x.deadline - now;
+    x.attempts().add(attempt);
+    x.attemptsInFlight++;
+    long left = x.deadlineNanos() - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.endpointId());
     if (timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
@@ -369,21 +374,21 @@
   }
 
   private void attemptEnded(ProxiedRequest x, Attempt attempt, AttemptStatus status, FullHttpResponse answer) {
-    long latency = clock.now() - attempt.sentAt;
+    long latency = clock.now() - attempt.startedAtNanos;
     attempt.status = status;
-    attempt.latency = latency;
+    attempt.latencyNanos = latency;
     trail.attempted(status);
     Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
     FullHttpResponse served = status == AttemptStatus.SUCCESS ? answer.retain() : null;
     enqueue(() -> {
-      x.outstanding--;
+      x.attemptsInFlight--;
       if (served != null) {
         if (!x.isEnded()) {
           answer(x, HttpResponseStatus.OK, 0, served.headers().get(HttpHeaderNames.CONTENT_TYPE), served.content());
         }
         served.release();
       }
-      if (x.left && x.outstanding == 0 && !x.isEnded()) {
+      if (x.clientHalfClosed && x.attemptsInFlight == 0 && !x.isEnded()) {
         refuse(x);
       }
       return known(x)
@@ -403,7 +408,7 @@
       call.end(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
-    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, DownstreamListener.HEALTH);
+    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, HttpProtocol.HEALTH_PATH);
     request.headers().set(HttpHeaderNames.HOST, "upstream");
     pool.start(call, address, request, PROBE_NANOS);
   }
--- a/src/main/java/loadbalancer/proxy/WarmUp.java
+++ b/src/main/java/loadbalancer/proxy/WarmUp.java
@@ -1,5 +1,7 @@
 package loadbalancer.proxy;
 
+import loadbalancer.discovery.EndpointSource;
+import loadbalancer.http.HttpProtocol;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -125,7 +127,7 @@
     listeners.childHandler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(DownstreamListener.MOST_BODY), new Upstream());
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(HttpProtocol.MAX_BODY_BYTES), new Upstream());
       }
     }).bind(upstream);
     frontend.listen(listeners, balancer).addListener(f -> {
@@ -133,7 +135,7 @@
           .handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(DownstreamListener.MOST_BODY), client);
+              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(HttpProtocol.MAX_BODY_BYTES), client);
             }
           });
       for (int i = 0; i < CLIENTS; i++) {
@@ -143,7 +145,7 @@
   }
 
   /** Discovery that never answers. */
-  private static final class NoList implements RequestDispatcher.ListSource {
+  private static final class NoList implements EndpointSource {
     @Override
     public void watch(boolean on) {}
 
@@ -202,12 +204,12 @@
         return;
       }
       RequestClass type = classes.get(asked % classes.size());
-      FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, DownstreamListener.API,
+      FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, HttpProtocol.API_PATH,
           Unpooled.wrappedBuffer(new byte[200]));
-      request.headers().set(HttpHeaderNames.HOST, "warm-up").set(DownstreamListener.ID, "warm-up-" + asked)
-          .set(DownstreamListener.CLASS, type.name()).set(DownstreamListener.TENANT, tenant).set(DownstreamListener.HINT, 10_000)
-          .set(DownstreamListener.IDEMPOTENCY_KEY, asked).set(HttpHeaderNames.COOKIE, DownstreamListener.KEY_COOKIE + "=" + asked % 100)
-          .set(DownstreamListener.EXPIRES, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
+      request.headers().set(HttpHeaderNames.HOST, "warm-up").set(HttpProtocol.TRACE_ID_HEADER, "warm-up-" + asked)
+          .set(HttpProtocol.CLASS_HEADER, type.name()).set(HttpProtocol.TENANT_HEADER, tenant).set(HttpProtocol.WORK_HINT_HEADER, 10_000)
+          .set(HttpProtocol.IDEMPOTENCY_KEY_HEADER, asked).set(HttpHeaderNames.COOKIE, HttpProtocol.AFFINITY_COOKIE + "=" + asked % 100)
+          .set(HttpProtocol.TIMEOUT_HEADER, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
           .set(HttpHeaderNames.CONTENT_LENGTH, 200);
       asked++;
       context.writeAndFlush(request);
--- a/src/main/java/loadbalancer/simulator/SimulateCommand.java
+++ b/src/main/java/loadbalancer/simulator/SimulateCommand.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
-import loadbalancer.config.MalformedInputException;
+import loadbalancer.json.MalformedInputException;
 
 /** Entry point of the wire adapter. */
 public final class SimulateCommand {
--- a/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
+++ b/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
@@ -8,7 +8,7 @@
  * How long what is read now may have lain unread because the event loop was held up. Guards the deadlines: a client's time runs
  * from its request's last byte, whenever that is read, and an answer half a second late is lost.
  */
-final class EventLoopLagMonitor {
+public final class EventLoopLagMonitor {
 
   private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -19,7 +19,7 @@
   private boolean late;
 
   /** The loop beats from now on: it has looked at its sockets shortly before each beat. */
-  EventLoopLagMonitor(EventLoop loop, MonotonicClock clock) {
+  public EventLoopLagMonitor(EventLoop loop, MonotonicClock clock) {
     this.loop = loop;
     this.clock = clock;
     beatAt = clock.now();
@@ -36,7 +36,7 @@
   }
 
   /** So long ago the loop should have looked at its sockets and did not; 0 where it is in time. */
-  long behindNanos() {
+  public long behindNanos() {
     return Math.max(0, clock.now() - beatAt - PERIOD_NANOS);
   }
 }
--- a/src/main/java/loadbalancer/telemetry/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -7,13 +7,12 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import loadbalancer.decision.api.AttemptStatus;
-import loadbalancer.proxy.ProxiedRequest;
 
 /**
  * What can be read afterwards: a line of figures for each second in which something was answered, and the course of some of
  * the requests that ended badly. It is bounded: on a bad day it would else take the core that the requests need.
  */
-final class RequestTrace {
+public final class RequestTrace {
 
   private static final Logger LOG = Logger.getLogger(RequestTrace.class.getName());
 
@@ -35,27 +34,27 @@
   private long latestTimer;
 
   /** {@code names} gives an upstream's name on the list. */
-  RequestTrace(LongFunction<String> names) {
+  public RequestTrace(LongFunction<String> names) {
     this.names = names;
   }
 
   /** An attempt has ended. */
-  void attempted(AttemptStatus status) {
+  public void attempted(AttemptStatus status) {
     attempts[status.ordinal()]++;
   }
 
   /** A timer of the module comes so long after it was due: so far is the event loop behind. */
-  void timer(long lateNanos) {
+  public void timer(long lateNanos) {
     latestTimer = Math.max(latestTimer, lateNanos);
   }
 
   /** A request has its final answer. */
-  void answered(ProxiedRequest x, HttpResponseStatus status, long now) {
-    long took = now - x.takenAt;
+  public void answered(TracedRequest x, HttpResponseStatus status, long now) {
+    long took = now - x.acceptedAtNanos();
     boolean isServed = status.equals(HttpResponseStatus.OK);
     boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
     boolean atOnce = refused && took < AT_ONCE_NANOS;
-    boolean isLate = isServed && took > x.type.latencyObjectiveNanos();
+    boolean isLate = isServed && took > x.requestClass().latencyObjectiveNanos();
     served += isServed ? 1 : 0;
     late += isLate ? 1 : 0;
     refusedAtOnce += atOnce ? 1 : 0;
@@ -87,19 +86,19 @@
     latestTimer = 0;
   }
 
-  private void tell(ProxiedRequest x, HttpResponseStatus status, long now) {
-    StringBuilder line = new StringBuilder(200).append(x.traceId).append(' ').append(x.type.name()).append(" answered ")
-        .append(status.code()).append(" after ").append(millis(now - x.takenAt)).append(" of ")
-        .append(millis(x.deadline - x.takenAt)).append(" ms");
-    if (millis(x.unreadNanos) > 0) {
-      line.append(", read up to ").append(millis(x.unreadNanos)).append(" ms late");
+  private void tell(TracedRequest x, HttpResponseStatus status, long now) {
+    StringBuilder line = new StringBuilder(200).append(x.traceId()).append(' ').append(x.requestClass().name()).append(" answered ")
+        .append(status.code()).append(" after ").append(millis(now - x.acceptedAtNanos())).append(" of ")
+        .append(millis(x.deadlineNanos() - x.acceptedAtNanos())).append(" ms");
+    if (millis(x.unreadNanos()) > 0) {
+      line.append(", read up to ").append(millis(x.unreadNanos())).append(" ms late");
     }
-    for (ProxiedRequest.Attempt a : x.attempts) {
-      line.append("; sent to ").append(names.apply(a.call.upstream)).append(" at ").append(millis(a.sentAt - x.takenAt));
-      if (a.status == null) {
+    for (TracedAttempt a : x.attempts()) {
+      line.append("; sent to ").append(names.apply(a.endpointId())).append(" at ").append(millis(a.startedAtNanos() - x.acceptedAtNanos()));
+      if (a.status() == null) {
         line.append(", out");
       } else {
-        line.append(", ").append(a.status).append(" after ").append(millis(a.latency));
+        line.append(", ").append(a.status()).append(" after ").append(millis(a.latencyNanos()));
       }
     }
     log(line.toString());
--- a/src/main/java/loadbalancer/upstream/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -1,5 +1,6 @@
 package loadbalancer.upstream;
 
+import loadbalancer.http.HttpProtocol;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -39,16 +40,13 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import loadbalancer.decision.api.AttemptStatus;
-import loadbalancer.downstream.DownstreamListener;
 import loadbalancer.net.DescriptorBudget;
 
 /** Connections to upstreams and the calls on them: one call a connection, one outcome a call, nothing sent again. */
-final class ConnectionPool {
+public final class ConnectionPool {
 
   private static final Logger LOG = Logger.getLogger(ConnectionPool.class.getName());
 
-  /** Header of an upstream that turned a request away unseen. */
-  private static final String NEVER_RAN = "X-Never-Ran";
   /** The part of the upstreams' idle time after which a connection is closed here: a request that crosses the
    * upstream's own closing would be a reset. */
   private static final double IDLE_PART = 0.7;
@@ -78,7 +76,7 @@
   private long restNanos = REST_NANOS;
 
   /** {@code ready} tells of an upstream whether anything new may go to it. */
-  ConnectionPool(Bootstrap bootstrap, DescriptorBudget sockets, long connectTimeoutNanos, long upstreamIdleNanos,
+  public ConnectionPool(Bootstrap bootstrap, DescriptorBudget sockets, long connectTimeoutNanos, long upstreamIdleNanos,
       LongPredicate ready) {
     this.sockets = sockets;
     this.ready = ready;
@@ -98,7 +96,7 @@
   }
 
   /** Starts a call; it takes over the request. The time-out covers connecting. */
-  void start(UpstreamCall call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
+  public void start(UpstreamCall call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
     if (!call.isWanted()) {
       request.release();
       call.end(AttemptStatus.NOT_SENT, null);
@@ -144,17 +142,17 @@
   }
 
   /** Stops waiting for a call. */
-  void cancel(UpstreamCall call) {
+  public void cancel(UpstreamCall call) {
     abandon(call, AttemptStatus.NOT_SENT, AttemptStatus.CANCELLED);
   }
 
   /** Upstreams drain or are gone: no connection to them is used again, and what has not been sent stays unsent. */
-  void withdraw(LongPredicate from) {
+  public void withdraw(LongPredicate from) {
     List.copyOf(idle.keySet()).stream().filter(from::test).forEach(this::closeIdle);
     List.copyOf(connecting).stream().filter(call -> from.test(call.upstream)).forEach(this::cancel);
   }
 
-  void closeIdle(long upstream) {
+  public void closeIdle(long upstream) {
     ArrayDeque<Connection> connections = idle.remove(upstream);
     if (connections != null) {
       connections.forEach(c -> c.channel.close());
@@ -162,7 +160,7 @@
   }
 
   /** Closes the connection that has stood idle longest; false if none is idle. */
-  boolean closeOldest() {
+  public boolean closeOldest() {
     Connection oldest = null;
     for (ArrayDeque<Connection> connections : idle.values()) {
       Connection last = connections.peekLast();
@@ -385,7 +383,7 @@
   private static final class AnswerReader extends HttpObjectAggregator {
 
     AnswerReader() {
-      super(DownstreamListener.MOST_BODY);
+      super(HttpProtocol.MAX_BODY_BYTES);
     }
 
     @Override
@@ -423,6 +421,6 @@
     }
     boolean refused = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
         || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
-    return refused && "1".equals(response.headers().get(NEVER_RAN)) ? AttemptStatus.REJECTED : AttemptStatus.ERROR;
+    return refused && "1".equals(response.headers().get(HttpProtocol.NEVER_RAN_HEADER)) ? AttemptStatus.REJECTED : AttemptStatus.ERROR;
   }
 }
--- a/src/main/java/loadbalancer/upstream/LoadReport.java
+++ b/src/main/java/loadbalancer/upstream/LoadReport.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 
 /** The load report that an upstream's answer may carry. */
-final class LoadReport {
+public final class LoadReport {
 
   private static final String HEADER = "Endpoint-Load-Metrics";
   private static final String TEXT_FORM = "TEXT ";
@@ -13,7 +13,7 @@
   private LoadReport() {}
 
   /** Its figures by name; empty where none came, and anything that is not a figure is skipped. */
-  static Map<String, Double> of(HttpHeaders headers) {
+  public static Map<String, Double> of(HttpHeaders headers) {
     String text = headers.get(HEADER);
     if (text == null || !text.startsWith(TEXT_FORM)) {
       return Map.of();
--- a/src/main/java/loadbalancer/upstream/UpstreamCall.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamCall.java
@@ -7,31 +7,31 @@
 import loadbalancer.decision.api.AttemptStatus;
 
 /** One request on its way to an upstream; it ends exactly once. */
-final class UpstreamCall {
+public final class UpstreamCall {
 
   /** Told how a call ended; the answer is there where one came, and is the pool's to release. */
-  interface Ended {
+  public interface Ended {
     void ended(AttemptStatus status, FullHttpResponse answer);
   }
 
-  final long upstream;
+  public final long upstream;
   private final BooleanSupplier wanted;
   private final Ended ended;
   /** The connection it is on, from when one is opened or reused until the call ends. */
-  Channel channel;
-  Future<?> timeout;
+  public Channel channel;
+  public Future<?> timeout;
   /** Its last byte has left: from here on it may have run. */
-  boolean written;
+  public boolean written;
   private boolean done;
 
   /** {@code wanted} is asked right before the first byte goes out: much may have come between that and the decision. */
-  UpstreamCall(long upstream, BooleanSupplier wanted, Ended ended) {
+  public UpstreamCall(long upstream, BooleanSupplier wanted, Ended ended) {
     this.upstream = upstream;
     this.wanted = wanted;
     this.ended = ended;
   }
 
-  boolean isWanted() {
+  public boolean isWanted() {
     return wanted.getAsBoolean();
   }
 
@@ -40,7 +40,7 @@
   }
 
   /** Ends it, if nothing has yet. */
-  void end(AttemptStatus status, FullHttpResponse answer) {
+  public void end(AttemptStatus status, FullHttpResponse answer) {
     if (!done) {
       done = true;
       channel = null;
--- a/src/test/java/loadbalancer/proxy/ProxyTest.java
+++ b/src/test/java/loadbalancer/proxy/ProxyTest.java
@@ -1,5 +1,6 @@
 package loadbalancer.proxy;
 
+import loadbalancer.http.HttpProtocol;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -95,7 +96,7 @@
 
   @Test
   void aBodyOfTheLargestSizePasses() throws Exception {
-    String body = "b".repeat(DownstreamListener.MOST_BODY);
+    String body = "b".repeat(HttpProtocol.MAX_BODY_BYTES);
     try (FakeServer upstream = FakeServer.answering(FakeServer.ok(body));
         ProxyFixture rig = new ProxyFixture(one(upstream)); Client client = rig.client()) {
       String answer = client.ask(ProxyFixture.post("t", "Idempotency-Key: k\r\n", body));
--- a/src/test/java/loadbalancer/proxy/ReloadTest.java
+++ b/src/test/java/loadbalancer/proxy/ReloadTest.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.config.BalancerConfig;
-import loadbalancer.config.MalformedInputException;
+import loadbalancer.json.MalformedInputException;
 import loadbalancer.decision.api.Action.WatchEndpoints;
 import loadbalancer.decision.api.EndpointState;
 import loadbalancer.decision.api.Event.EndpointListUpdate;
--- a/src/test/java/loadbalancer/simulator/SimulatorAdapterTest.java
+++ b/src/test/java/loadbalancer/simulator/SimulatorAdapterTest.java
@@ -11,7 +11,7 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.nio.charset.StandardCharsets;
-import loadbalancer.config.MalformedInputException;
+import loadbalancer.json.MalformedInputException;
 import loadbalancer.decision.api.Action.CancelAttempt;
 import loadbalancer.decision.api.Action.CheckHealth;
 import loadbalancer.decision.api.Action.CloseIdleConnections;
--- a/src/test/java/loadbalancer/testing/FakeServer.java
+++ b/src/test/java/loadbalancer/testing/FakeServer.java
@@ -18,19 +18,19 @@
 import java.util.concurrent.TimeUnit;
 
 /** A server on loopback whose every connection follows a script, byte for byte: an upstream or discovery. */
-final class FakeServer implements AutoCloseable {
+public final class FakeServer implements AutoCloseable {
 
   /** What a connection does; it is closed when the script returns. */
-  interface Script {
+  public interface Script {
     void run(Connection connection) throws IOException, InterruptedException;
   }
 
-  final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
-  final BlockingQueue<Connection> connections = new LinkedBlockingQueue<>();
+  public final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+  public final BlockingQueue<Connection> connections = new LinkedBlockingQueue<>();
   private final List<Socket> open = new CopyOnWriteArrayList<>();
   private final ServerSocket listener;
 
-  FakeServer(Script script) throws IOException {
+  public FakeServer(Script script) throws IOException {
     listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     start(() -> {
       while (true) {
@@ -66,7 +66,7 @@
   }
 
   /** Answers every request alike. */
-  static FakeServer answering(String answer) throws IOException {
+  public static FakeServer answering(String answer) throws IOException {
     return new FakeServer(c -> {
       while (c.next() != null) {
         c.write(answer);
@@ -74,11 +74,11 @@
     });
   }
 
-  static String ok(String body) {
+  public static String ok(String body) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
-  String address() {
+  public String address() {
     return "127.0.0.1:" + ((InetSocketAddress) listener.getLocalSocketAddress()).getPort();
   }
 
@@ -91,12 +91,12 @@
   }
 
   /** Reads HTTP messages, a client's as well. */
-  static final class Message {
+  public static final class Message {
 
     private Message() {}
 
     /** A message's head and body as they came; null at the end of the connection. */
-    static String read(InputStream in) throws IOException {
+    public static String read(InputStream in) throws IOException {
       ByteArrayOutputStream bytes = new ByteArrayOutputStream();
       while (!bytes.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
         int b = in.read();
@@ -115,19 +115,19 @@
   }
 
   /** A connection that was accepted. */
-  final class Connection {
+  public final class Connection {
 
     private final Socket socket;
     private final InputStream in;
     private final CountDownLatch over = new CountDownLatch(1);
 
-    Connection(Socket socket) throws IOException {
+    public Connection(Socket socket) throws IOException {
       this.socket = socket;
       in = new BufferedInputStream(socket.getInputStream());
     }
 
     /** Waits for a request; null once the other side has closed. */
-    String next() throws IOException {
+    public String next() throws IOException {
       String request = Message.read(in);
       if (request != null) {
         requests.add(request);
@@ -135,13 +135,13 @@
       return request;
     }
 
-    void write(String text) throws IOException {
+    public void write(String text) throws IOException {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
       socket.getOutputStream().flush();
     }
 
     /** Reads until what has come ends so. */
-    void readUntil(String end) throws IOException {
+    public void readUntil(String end) throws IOException {
       StringBuilder come = new StringBuilder();
       while (!come.toString().endsWith(end)) {
         int b = in.read();
@@ -153,18 +153,18 @@
     }
 
     /** Ends it at once, with a reset. */
-    void reset() throws IOException {
+    public void reset() throws IOException {
       socket.setSoLinger(true, 0);
       socket.close();
     }
 
     /** Waits until the script is through: its last read found the end, or it closed. */
-    boolean awaitEnd() throws InterruptedException {
+    public boolean awaitEnd() throws InterruptedException {
       return over.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS);
     }
 
     /** Waits until the other side closes; false if it says more first, or is still there at the limit. */
-    boolean ends() {
+    public boolean ends() {
       try {
         socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
         return in.read() < 0;
--- a/src/test/java/loadbalancer/testing/ProxyFixture.java
+++ b/src/test/java/loadbalancer/testing/ProxyFixture.java
@@ -30,31 +30,31 @@
 import loadbalancer.proxy.ProxyServer;
 
 /** A balancer on ephemeral loopback ports, with its decisions scripted or real, and clients for it. */
-final class ProxyFixture implements AutoCloseable {
+public final class ProxyFixture implements AutoCloseable {
 
   /** A generous limit for what has to happen: no test passes by its running out. */
-  static final int LIMIT_S = 60;
+  public static final int LIMIT_S = 60;
 
   private static final String CLASS = "{\"name\":\"%s\",\"effect\":\"%s\",\"dedup-scope\":\"cell\","
       + "\"window-ns\":2000000000,\"aim-ns\":20000000000,\"deadline-ns\":40000000000}";
 
   /** A module that follows a script and keeps what it was told. */
-  static final class ScriptedEngine implements DecisionEngine {
+  public static final class ScriptedEngine implements DecisionEngine {
 
-    interface Step {
+    public interface Step {
       void on(Event event, Consumer<Action> out);
     }
 
-    final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
-    final List<Long> upstreams = new ArrayList<>();
+    public final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    public final List<Long> upstreams = new ArrayList<>();
     private final Step step;
 
-    ScriptedEngine(Step step) {
+    public ScriptedEngine(Step step) {
       this.step = step;
     }
 
     /** Sends every request to the first upstream and fails it when that does not serve it. */
-    ScriptedEngine(long timeoutNanos) {
+    public ScriptedEngine(long timeoutNanos) {
       this.step = (event, out) -> {
         if (event instanceof RequestArrived r) {
           out.accept(new StartAttempt(r.requestId(), upstreams.get(0), timeoutNanos));
@@ -74,7 +74,7 @@
     }
 
     /** Waits for the next event of a kind, past all others. */
-    <T extends Event> T next(Class<T> kind) throws InterruptedException {
+    public <T extends Event> T next(Class<T> kind) throws InterruptedException {
       while (true) {
         Event event = events.poll(LIMIT_S, TimeUnit.SECONDS);
         assertNotNull(event, "no " + kind.getSimpleName() + " came");
@@ -86,18 +86,18 @@
   }
 
   /** A client's connection. */
-  static final class Client implements AutoCloseable {
+  public static final class Client implements AutoCloseable {
 
-    final Socket socket;
+    public final Socket socket;
     private final InputStream in;
 
-    Client(ProxyServer server) throws IOException {
+    public Client(ProxyServer server) throws IOException {
       socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
       socket.setSoTimeout(LIMIT_S * 1000);
       in = new BufferedInputStream(socket.getInputStream());
     }
 
-    Client write(String text) throws IOException {
+    public Client write(String text) throws IOException {
       OutputStream out = socket.getOutputStream(); // Once: what is written may lead to its end.
       out.write(text.getBytes(StandardCharsets.ISO_8859_1));
       out.flush();
@@ -105,11 +105,11 @@
     }
 
     /** The next answer; null once the balancer has closed. */
-    String answer() throws IOException {
+    public String answer() throws IOException {
       return FakeServer.Message.read(in);
     }
 
-    String ask(String text) throws IOException {
+    public String ask(String text) throws IOException {
       return write(text).answer();
     }
 
@@ -119,19 +119,19 @@
     }
   }
 
-  final ProxyServer server;
+  public final ProxyServer server;
 
-  ProxyFixture(BalancerConfig config, DecisionEngine module) throws IOException {
+  public ProxyFixture(BalancerConfig config, DecisionEngine module) throws IOException {
     server = ProxyServer.prepare(config, n -> module, 0);
     server.listen();
   }
 
-  ProxyFixture(BalancerConfig config) {
+  public ProxyFixture(BalancerConfig config) {
     server = ProxyServer.prepare(config, n -> new LoadBalancingEngine(config.settings(), config.seed() + n), 0);
     server.listen();
   }
 
-  Client client() throws IOException {
+  public Client client() throws IOException {
     return new Client(server);
   }
 
@@ -141,35 +141,35 @@
   }
 
   /** A safe request with further header lines, each ended by CRLF. */
-  static String get(String id, String lines) {
+  public static String get(String id, String lines) {
     return "GET /api?q=1 HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: " + id + "\r\nX-Qos: safe\r\n" + lines + "\r\n";
   }
 
-  static String post(String id, String lines, String body) {
+  public static String post(String id, String lines, String body) {
     return "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Trace-Id: " + id + "\r\nX-Qos: keyed\r\n" + lines
         + "Content-Length: " + body.length() + "\r\n\r\n" + body;
   }
 
-  static String member(String id, String address, String phase) {
+  public static String member(String id, String address, String phase) {
     return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"a\",\"flavor\":\"m\",\"cell\":0,"
         + "\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":0}";
   }
 
-  static String list(int revision, boolean complete, String... members) {
+  public static String list(int revision, boolean complete, String... members) {
     return "{\"revision\":" + revision + ",\"complete\":" + complete + ",\"members\":[" + String.join(",", members)
         + "]}";
   }
 
-  static BalancerConfig config(String discovery, String known) throws IOException {
+  public static BalancerConfig config(String discovery, String known) throws IOException {
     return config(discovery, known, "on_request", 200, 1024, "");
   }
 
-  static BalancerConfig config(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more)
+  public static BalancerConfig config(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more)
       throws IOException {
     return BalancerConfig.parse(text(discovery, known, mode, connectTimeoutMillis, sockets, more), Map.of());
   }
 
-  static String text(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more) {
+  public static String text(String discovery, String known, String mode, int connectTimeoutMillis, int sockets, String more) {
     return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery + "\","
         + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets + "},"
         + more + "\"known\":" + known + ",\"settings\":{\"zone\":\"a\",\"me\":0,\"registry-mode\":\"" + mode + "\","
