--- a/src/main/java/loadbalancer/config/BalancerConfig.java
+++ b/src/main/java/loadbalancer/config/BalancerConfig.java
@@ -73,7 +73,7 @@
   }
 
   /** What a file that can't be used lacks, in one line. */
-  public static String complaint(Exception e) {
+  public static String describeProblem(Exception e) {
     String what = e instanceof MalformedInputException || e instanceof IllegalArgumentException ? e.getMessage()
         : e instanceof JsonProcessingException j ? "configuration: not JSON: " + j.getOriginalMessage() : e.toString();
     return what.lines().findFirst().orElse("");
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -88,7 +88,7 @@
   }
 
   /** Discovery has another address: what is watched is watched there from now on, and the old connection ends. */
-  public void move(InetSocketAddress to) {
+  public void moveTo(InetSocketAddress to) {
     if (!to.equals(address)) {
       address = to;
       givenUp = 0;
@@ -110,7 +110,7 @@
   }
 
   /** Watches again, if a watch is wanted and none stands. */
-  public void resume() {
+  public void resumeWatch() {
     if (watching && watch == null) {
       watch(true);
     }
--- a/src/main/java/loadbalancer/discovery/EndpointDirectory.java
+++ b/src/main/java/loadbalancer/discovery/EndpointDirectory.java
@@ -53,7 +53,7 @@
   }
 
   /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
-  public EndpointListUpdate take(UpdateKind kind, EndpointList list) {
+  public EndpointListUpdate apply(UpdateKind kind, EndpointList list) {
     restarted.clear();
     if (!isNews(kind, list)) {
       return new EndpointListUpdate(UpdateKind.DELTA, List.of());
@@ -83,7 +83,7 @@
   }
 
   /** Upstreams that, by the list last taken in, are another process than before. */
-  public List<Long> restarted() {
+  public List<Long> restartedEndpoints() {
     return restarted;
   }
 
@@ -98,7 +98,7 @@
   }
 
   /** The list as it is held, for a module that starts anew. */
-  public EndpointListUpdate held() {
+  public EndpointListUpdate snapshot() {
     List<Endpoint> entries = new ArrayList<>();
     servers.forEach((number, server) -> entries.add(listed(number, server)));
     return new EndpointListUpdate(UpdateKind.CACHED, entries);
@@ -117,6 +117,6 @@
   }
 
   private Endpoint listed(long number, Member s) {
-    return new Endpoint(number, s.zone(), s.cell(), s.state(), clock.atUnixMillis(s.upSinceMillis()), s.size());
+    return new Endpoint(number, s.zone(), s.cell(), s.state(), clock.nanosAtUnixMillis(s.upSinceMillis()), s.size());
   }
 }
--- a/src/main/java/loadbalancer/downstream/DownstreamListener.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamListener.java
@@ -1,5 +1,6 @@
 package loadbalancer.downstream;
 
+import loadbalancer.net.PendingReads;
 import loadbalancer.http.HttpProtocol;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -118,37 +119,37 @@
   }
 
   /** From here on {@code /healthz} may say that this balancer serves. */
-  public void ready() {
+  public void markReady() {
     ready = true;
   }
 
   /** From here on {@code /healthz} sends clients elsewhere. */
-  public void stopping() {
+  public void startDraining() {
     stopping = true;
   }
 
   /** New connections are refused. What the machine has accepted counts as taken, and is: to close over it would be a reset. */
-  public void acceptNoMore() {
+  public void stopAccepting() {
     long before;
     do {
       before = accepted;
-      DescriptorBudget.look(listener);
+      PendingReads.readNow(listener);
     } while (accepted > before);
     listener.close();
   }
 
   /** From here on every answer closes its connection; those that are owed nothing are closed. */
-  public void close() {
+  public void closeIdleConnections() {
     closing = true;
     clients.closeUnasked();
   }
 
   /** The process is about to end: who has not sent a whole request by now is told that it is too late. */
-  public void end() {
+  public void expireIncompleteRequests() {
     clients.hurry();
   }
 
-  public int connections() {
+  public int connectionCount() {
     return clients.count();
   }
 
@@ -157,10 +158,10 @@
    * open, and before connections to upstreams that stand idle.
    */
   private void accepted(Channel channel) {
-    boolean room = clients.count() < sockets.forClients() && sockets.hasRoom() || clients.shed() || pool.closeOldest();
+    boolean room = clients.count() < sockets.clientLimit() && sockets.hasRoom() || clients.shed() || pool.closeLongestIdle();
     accepted++;
-    sockets.opened(channel);
-    if (!room && sockets.isFull()) {
+    sockets.register(channel);
+    if (!room && sockets.isNearlyExhausted()) {
       channel.close();
     }
   }
@@ -303,7 +304,7 @@
 
     @Override
     public void look() {
-      DescriptorBudget.look(channel);
+      PendingReads.readNow(channel);
     }
 
     @Override
@@ -361,10 +362,10 @@
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
-        long unread = pulse.behindNanos();
+        long unread = pulse.lagNanos();
         long hint = Math.max(0, wholeNumber(headers.get(HttpProtocol.WORK_HINT_HEADER, "0")));
         exchange = new DownstreamRequest(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
-            "1".equals(headers.get(HttpProtocol.RETRY_HEADER)), clock.now() - unread + wait - WAY_NANOS, unread,
+            "1".equals(headers.get(HttpProtocol.RETRY_HEADER)), clock.nowNanos() - unread + wait - WAY_NANOS, unread,
             request.retain(), this);
         handler.accept(exchange);
       }
--- a/src/main/java/loadbalancer/net/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/net/DescriptorBudget.java
@@ -1,7 +1,6 @@
 package loadbalancer.net;
 
 import io.netty.channel.Channel;
-import io.netty.channel.nio.AbstractNioChannel;
 
 /** Counts the open sockets against what the process may hold. */
 public final class DescriptorBudget {
@@ -25,14 +24,7 @@
     most = limit - OWN - SPARE;
   }
 
-  /** Reads what has come on a connection, without waiting for the event loop to. */
-  public static void look(Channel channel) {
-    if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-      unsafe.read();
-    }
-  }
-
-  public void opened(Channel channel) {
+  public void register(Channel channel) {
     open++;
     channel.closeFuture().addListener(f -> open--);
   }
@@ -43,12 +35,12 @@
   }
 
   /** Whether the spare ones are nearly gone as well. */
-  public boolean isFull() {
+  public boolean isNearlyExhausted() {
     return open > limit - OWN - SPARE / 2;
   }
 
   /** How many connections of clients may be kept. */
-  public int forClients() {
+  public int clientLimit() {
     return (int) (most * CLIENT_PART);
   }
 }
--- a/src/main/java/loadbalancer/net/MonotonicClock.java
+++ b/src/main/java/loadbalancer/net/MonotonicClock.java
@@ -11,7 +11,7 @@
   private final long startNanos = System.nanoTime();
   private final long startMillis = System.currentTimeMillis();
 
-  public long now() {
+  public long nowNanos() {
     return ORIGIN + System.nanoTime() - startNanos;
   }
 
@@ -19,7 +19,7 @@
    * The clock reading at a Unix time; 0, long ago, stays 0. The distance between the two clocks is taken once: were it
    * taken anew, a drift of the wall clock would look like a restart of every upstream on the list.
    */
-  public long atUnixMillis(long millis) {
+  public long nanosAtUnixMillis(long millis) {
     return millis <= 0 ? 0 : Math.max(1, ORIGIN + TimeUnit.MILLISECONDS.toNanos(millis - startMillis));
   }
 }
--- a/src/main/java/loadbalancer/net/RoundingIoHandler.java
+++ b/src/main/java/loadbalancer/net/RoundingIoHandler.java
@@ -5,6 +5,7 @@
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.IoRegistration;
+import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -23,7 +24,12 @@
     this.handler = handler;
   }
 
-  /** The factory of such handlers around those of another. */
+  /** Makes handlers that wait on a selector. */
+  public static IoHandlerFactory newFactory() {
+    return around(NioIoHandler.newFactory());
+  }
+
+  /** Makes such handlers around those of another factory. */
   public static IoHandlerFactory around(IoHandlerFactory factory) {
     return executor -> new RoundingIoHandler(factory.newHandler(executor));
   }
--- a/src/main/java/loadbalancer/proxy/ClassArchiveTraining.java
+++ b/src/main/java/loadbalancer/proxy/ClassArchiveTraining.java
@@ -15,6 +15,6 @@
   /** The only argument is a configuration file. */
   public static void main(String[] args) throws IOException {
     ProxyServer server = ProxyServer.start(BalancerConfig.read(Map.of("ROUTER_CONFIG", args[0])));
-    server.stop();
+    server.shutDownGracefully();
   }
 }
--- a/src/main/java/loadbalancer/proxy/ProxiedRequest.java
+++ b/src/main/java/loadbalancer/proxy/ProxiedRequest.java
@@ -57,7 +57,7 @@
 
     @Override
     public long endpointId() {
-      return call.upstream;
+      return call.endpointId();
     }
 
     @Override
@@ -139,11 +139,11 @@
 
   /** Whether an answer may still come of what has been written, or has come. */
   boolean isSent() {
-    return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : a.status == AttemptStatus.SUCCESS);
+    return attempts.stream().anyMatch(a -> a.status == null ? a.call.isWritten() : a.status == AttemptStatus.SUCCESS);
   }
 
   boolean mayHaveRun() {
-    return attempts.stream().anyMatch(a -> a.status == null ? a.call.written : !a.status.provesNotRun());
+    return attempts.stream().anyMatch(a -> a.status == null ? a.call.isWritten() : !a.status.provesNotRun());
   }
 
   /** Until when it may be sent again: a keyed one that may have run already is dropped by its upstreams for so long only. */
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -45,12 +45,6 @@
   /** The part of the memory, one in so many, that clients' bodies may take: half of what `run` gives to buffers. */
   private static final int BODIES_PART = 16;
   private static final int DISCOVERY_CONNECT_MILLIS = 1000;
-  /**
-   * Where lists are pushed nobody asks for them but this program: it comes back to its agent after this at first, and after the
-   * longer at the end, with jitter. Long enough not to spin, short enough for several tries before silence counts as told.
-   */
-  private static final long AGENT_RETRY_MILLIS = 50;
-  private static final long AGENT_RETRY_MOST_MILLIS = 400;
   /** A start waits no longer than this for the list: without discovery the one that was known is better than no service. */
   private static final long LIST_MILLIS = 2000;
   /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer, also where deadlines are short. */
@@ -89,15 +83,10 @@
 
   private ProxyServer(BalancerConfig config) {
     this.config = config;
-    group = new MultiThreadIoEventLoopGroup(1, loops());
+    group = new MultiThreadIoEventLoopGroup(1, RoundingIoHandler.newFactory());
     loop = group.next();
   }
 
-  /** What the event loop waits with. */
-  public static IoHandlerFactory loops() {
-    return RoundingIoHandler.around(NioIoHandler.newFactory());
-  }
-
   /** Starts a balancer and returns once it listens. */
   static ProxyServer start(BalancerConfig config) {
     ProxyServer server = prepare(config);
@@ -124,7 +113,7 @@
         LOG.warning("discovery says nothing: the list that was known has to do");
       }
     } catch (RuntimeException e) {
-      server.shutDown();
+      server.shutDownNow();
       throw e;
     }
     return server;
@@ -141,9 +130,9 @@
           .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true)
           .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true), config.listen())
           .syncUninterruptibly().channel();
-      loop.submit(frontend::ready).syncUninterruptibly();
+      loop.submit(frontend::markReady).syncUninterruptibly();
     } catch (RuntimeException e) {
-      shutDown();
+      shutDownNow();
       throw e;
     }
     LOG.info(() -> config.name() + " serves at " + address() + ", " + config.known().members().size()
@@ -187,16 +176,11 @@
       agentFailures = 0;
       node.news(kind, list);
     } else {
-      long backoff = agentBackoffMillis(agentFailures++);
-      loop.schedule(discovery::resume, ThreadLocalRandom.current().nextLong(backoff / 2, backoff), TimeUnit.MILLISECONDS);
+      long backoff = AgentRetryPolicy.backoffMillis(agentFailures++);
+      loop.schedule(discovery::resumeWatch, ThreadLocalRandom.current().nextLong(backoff / 2, backoff), TimeUnit.MILLISECONDS);
     }
   }
 
-  /** The longest wait before the agent is asked again after so many failures before the last. */
-  public static long agentBackoffMillis(int failures) {
-    return Math.min(AGENT_RETRY_MOST_MILLIS, AGENT_RETRY_MILLIS << Math.min(failures, 10));
-  }
-
   /** Where a configuration comes from. */
   interface Source {
     BalancerConfig read() throws IOException;
@@ -209,10 +193,10 @@
   synchronized void reload(Source source) {
     try {
       InetSocketAddress to = source.read().discovery();
-      loop.execute(() -> discovery.move(to));
+      loop.execute(() -> discovery.moveTo(to));
       LOG.info(() -> "configuration read again, discovery at " + to);
     } catch (IOException | RuntimeException e) {
-      LOG.warning("configuration not taken, the one before stays: " + BalancerConfig.complaint(e));
+      LOG.warning("configuration not taken, the one before stays: " + BalancerConfig.describeProblem(e));
     }
   }
 
@@ -225,12 +209,12 @@
   }
 
   /** Waits for the start of {@link #stop}. */
-  void awaitStopping() {
+  void awaitShutdownStart() {
     await(stopping, Long.MAX_VALUE);
   }
 
   /** Waits for the end of {@link #stop}. */
-  public void await() {
+  public void awaitTermination() {
     await(stopped, Long.MAX_VALUE);
   }
 
@@ -244,40 +228,40 @@
   }
 
   /** Takes what still comes for a while, answers all that was taken, and returns when no client is left. Once: again it waits. */
-  void stop() {
+  void shutDownGracefully() {
     if (!stopBegun.compareAndSet(false, true)) {
-      await();
+      awaitTermination();
       return;
     }
     LOG.info("stopping");
     loop.execute(() -> {
-      frontend.stopping();
+      frontend.startDraining();
       stopping.countDown();
-      loop.schedule(frontend::acceptNoMore, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(frontend::stopAccepting, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
       loop.schedule(() -> {
-        frontend.close();
+        frontend.closeIdleConnections();
         finish();
       }, Math.max(ACCEPT_MILLIS, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS)), TimeUnit.MILLISECONDS);
       loop.schedule(() -> {
-        LOG.info(() -> "its time is over: " + node.inHand() + " requests in hand, " + frontend.connections() + " connections");
+        LOG.info(() -> "its time is over: " + node.inHand() + " requests in hand, " + frontend.connectionCount() + " connections");
         node.end();
-        frontend.end();
+        frontend.expireIncompleteRequests();
       }, stopMillis, TimeUnit.MILLISECONDS);
       loop.schedule(drained::countDown, stopMillis + FLUSH_MILLIS, TimeUnit.MILLISECONDS);
     });
     await(drained, Long.MAX_VALUE);
-    shutDown();
+    shutDownNow();
     LOG.info("stopped");
     stopped.countDown();
   }
 
   /** Ends at once, whatever is in hand. */
-  public void shutDown() {
+  public void shutDownNow() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
   private void finish() {
-    if (frontend.connections() > 0) {
+    if (frontend.connectionCount() > 0) {
       loop.schedule(this::finish, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     } else {
       drained.countDown();
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -117,14 +117,14 @@
   public void accept(DownstreamRequest request) {
     ProxiedRequest x = new ProxiedRequest(request);
     x.id = "r" + taken++;
-    x.acceptedAtNanos = clock.now();
+    x.acceptedAtNanos = clock.nowNanos();
     if (ended) {
       refuse(x);
       return;
     }
     exchanges.put(x.id, x);
     byTraceId.put(x.traceId(), x);
-    x.guard = loop.schedule(() -> overdue(x), x.deadlineNanos() + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
+    x.guard = loop.schedule(() -> overdue(x), x.deadlineNanos() + GUARD_NANOS - clock.nowNanos(), TimeUnit.NANOSECONDS);
     enqueue(() -> x.isEnded() ? null
         : new RequestArrived(x.id, request.requestClass().name(), request.tenant(), request.affinityKey(), request.deadlineNanos(),
             request.workHintNanos(), request.retry()));
@@ -184,12 +184,12 @@
       enqueue(() -> new EndpointListUpdate(kind, List.of()));
       return;
     }
-    EndpointListUpdate news = fleet.take(kind, list);
+    EndpointListUpdate news = fleet.apply(kind, list);
     enqueue(() -> news);
     // After the news, so that the module knows why what was still connecting comes back unsent.
     pool.withdraw(upstream -> !fleet.isReady(upstream));
     // What was open to the process before leads nowhere; a machine that vanished has not even closed it.
-    fleet.restarted().forEach(pool::closeIdle);
+    fleet.restartedEndpoints().forEach(pool::closeIdle);
   }
 
   /** Another balancer has sent a message. */
@@ -245,7 +245,7 @@
         continue;
       }
       try {
-        module.handle(clock.now(), event, this::perform);
+        module.handle(clock.nowNanos(), event, this::perform);
       } catch (RuntimeException e) {
         LOG.log(Level.SEVERE, "module failed at " + event.getClass().getSimpleName(), e);
         restart(event);
@@ -274,7 +274,7 @@
     byTraceId.clear();
     queue.clear();
     module = modules.apply(++generation);
-    EndpointListUpdate held = fleet.held();
+    EndpointListUpdate held = fleet.snapshot();
     enqueue(() -> held);
   }
 
@@ -306,9 +306,9 @@
     } else if (action instanceof SetTimer a) {
       long made = generation;
       loop.schedule(() -> {
-        trail.timer(clock.now() - a.atNanos());
+        trail.timerFired(clock.nowNanos() - a.atNanos());
         enqueue(() -> made == generation ? new TimerFired(a.token()) : null);
-      }, a.atNanos() - clock.now(), TimeUnit.NANOSECONDS);
+      }, a.atNanos() - clock.nowNanos(), TimeUnit.NANOSECONDS);
     } else if (action instanceof WatchEndpoints a) {
       lists.watch(a.enabled());
     } else if (action instanceof FetchEndpoints) {
@@ -342,11 +342,11 @@
 
   private void answer(ProxiedRequest x, HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
     x.answer(status, retryAfterNanos, type, content);
-    trail.answered(x, status, clock.now());
+    trail.responded(x, status, clock.nowNanos());
   }
 
   private void send(ProxiedRequest x, StartAttempt send) {
-    long now = clock.now();
+    long now = clock.nowNanos();
     Attempt attempt = new Attempt(x.attempts().size(), now);
     long repeatBy = x.repeatBy();
     attempt.call = new UpstreamCall(send.endpointId(), () -> isWanted(x, send.endpointId(), repeatBy),
@@ -357,9 +357,9 @@
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.endpointId());
     if (timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
-      attempt.call.end(AttemptStatus.NOT_SENT, null);
+      attempt.call.complete(AttemptStatus.NOT_SENT, null);
     } else if (address == null) {
-      attempt.call.end(AttemptStatus.CONNECT_FAILED, null);
+      attempt.call.complete(AttemptStatus.CONNECT_FAILED, null);
     } else {
       pool.start(attempt.call, address, x.forward(timeout), timeout);
     }
@@ -370,15 +370,15 @@
    * news that is told next: by then the upstream may drain, the request be over or past its repeats, or its client gone.
    */
   private boolean isWanted(ProxiedRequest x, long upstream, long repeatBy) {
-    return x.isAwaited() && fleet.isReady(upstream) && clock.now() < repeatBy;
+    return x.isAwaited() && fleet.isReady(upstream) && clock.nowNanos() < repeatBy;
   }
 
   private void attemptEnded(ProxiedRequest x, Attempt attempt, AttemptStatus status, FullHttpResponse answer) {
-    long latency = clock.now() - attempt.startedAtNanos;
+    long latency = clock.nowNanos() - attempt.startedAtNanos;
     attempt.status = status;
     attempt.latencyNanos = latency;
-    trail.attempted(status);
-    Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
+    trail.attemptEnded(status);
+    Map<String, Double> load = loadReports && answer != null ? LoadReport.parse(answer.headers()) : Map.of();
     FullHttpResponse served = status == AttemptStatus.SUCCESS ? answer.retain() : null;
     enqueue(() -> {
       x.attemptsInFlight--;
@@ -392,20 +392,20 @@
         refuse(x);
       }
       return known(x)
-          ? new AttemptEnded(x.id, attempt.number, attempt.call.upstream, status, latency, x.isEnded(), load) : null;
+          ? new AttemptEnded(x.id, attempt.number, attempt.call.endpointId(), status, latency, x.isEnded(), load) : null;
     });
   }
 
   private void probe(long upstream) {
-    long sentAt = clock.now();
+    long sentAt = clock.nowNanos();
     UpstreamCall call = new UpstreamCall(upstream, () -> true, (status, answer) -> {
-      long latency = clock.now() - sentAt;
-      Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
+      long latency = clock.nowNanos() - sentAt;
+      Map<String, Double> load = loadReports && answer != null ? LoadReport.parse(answer.headers()) : Map.of();
       enqueue(() -> new HealthCheckResult(upstream, status, latency, load));
     });
     SocketAddress address = fleet.address(upstream);
     if (address == null) {
-      call.end(AttemptStatus.CONNECT_FAILED, null);
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, HttpProtocol.HEALTH_PATH);
--- a/src/main/java/loadbalancer/proxy/ServeCommand.java
+++ b/src/main/java/loadbalancer/proxy/ServeCommand.java
@@ -28,7 +28,7 @@
         err.println("stopped before it served");
         System.exit(0);
       }
-      started.thenAccept(s -> new Thread(s::stop, "stop").start());
+      started.thenAccept(s -> new Thread(s::shutDownGracefully, "stop").start());
     });
     // Without a handler SIGHUP ends the virtual machine. One that comes early is carried out once the balancer serves.
     Signal.handle(new Signal("HUP"), signal -> started.thenAccept(s -> s.reload(() -> BalancerConfig.read(environment))));
@@ -40,10 +40,10 @@
       server.listen();
       started.complete(server);
     } catch (IOException | RuntimeException e) {
-      err.println("can't start: " + BalancerConfig.complaint(e));
+      err.println("can't start: " + BalancerConfig.describeProblem(e));
       return 1;
     }
-    started.join().await();
+    started.join().awaitTermination();
     return 0;
   }
 }
--- a/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
+++ b/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
@@ -22,21 +22,21 @@
   public EventLoopLagMonitor(EventLoop loop, MonotonicClock clock) {
     this.loop = loop;
     this.clock = clock;
-    beatAt = clock.now();
+    beatAt = clock.nowNanos();
     beat();
   }
 
   private void beat() {
     // A beat that was held up counts from the next turn on only: in this one the sockets may not have been looked at since.
-    late = !late && clock.now() - beatAt > 2 * PERIOD_NANOS;
+    late = !late && clock.nowNanos() - beatAt > 2 * PERIOD_NANOS;
     if (!late) {
-      beatAt = clock.now();
+      beatAt = clock.nowNanos();
     }
     loop.schedule(this::beat, late ? AGAIN_NANOS : PERIOD_NANOS, TimeUnit.NANOSECONDS);
   }
 
   /** So long ago the loop should have looked at its sockets and did not; 0 where it is in time. */
-  public long behindNanos() {
-    return Math.max(0, clock.now() - beatAt - PERIOD_NANOS);
+  public long lagNanos() {
+    return Math.max(0, clock.nowNanos() - beatAt - PERIOD_NANOS);
   }
 }
--- a/src/main/java/loadbalancer/telemetry/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -39,17 +39,17 @@
   }
 
   /** An attempt has ended. */
-  public void attempted(AttemptStatus status) {
+  public void attemptEnded(AttemptStatus status) {
     attempts[status.ordinal()]++;
   }
 
   /** A timer of the module comes so long after it was due: so far is the event loop behind. */
-  public void timer(long lateNanos) {
+  public void timerFired(long lateNanos) {
     latestTimer = Math.max(latestTimer, lateNanos);
   }
 
   /** A request has its final answer. */
-  public void answered(TracedRequest x, HttpResponseStatus status, long now) {
+  public void responded(TracedRequest x, HttpResponseStatus status, long now) {
     long took = now - x.acceptedAtNanos();
     boolean isServed = status.equals(HttpResponseStatus.OK);
     boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
--- a/src/main/java/loadbalancer/upstream/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -99,41 +99,41 @@
   public void start(UpstreamCall call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
     if (!call.isWanted()) {
       request.release();
-      call.end(AttemptStatus.NOT_SENT, null);
+      call.complete(AttemptStatus.NOT_SENT, null);
       return;
     }
     call.timeout = bootstrap.config().group().next()
         .schedule(() -> abandon(call, AttemptStatus.CONNECT_FAILED, AttemptStatus.TIMEOUT), timeoutNanos, TimeUnit.NANOSECONDS);
-    Connection reused = reuse(call.upstream, address);
+    Connection reused = reuse(call.endpointId(), address);
     if (reused != null) {
       reused.write(call, request);
       return;
     }
-    if (!sockets.hasRoom() && !closeOldest()) {
+    if (!sockets.hasRoom() && !closeLongestIdle()) {
       request.release();
-      call.end(AttemptStatus.CONNECT_FAILED, null);
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
     ChannelFuture connect = bootstrap.connect(address);
     if (connect.isDone() && !connect.isSuccess()) {
       // No socket could be made at all; such a failure would be announced on a thread that is not ours.
       request.release();
-      call.end(AttemptStatus.CONNECT_FAILED, null);
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
     connecting.add(call);
     call.channel = connect.channel();
-    sockets.opened(call.channel);
+    sockets.register(call.channel);
     connect.addListener(f -> {
       connecting.remove(call);
       // Guards against a request written although it was withdrawn while connecting: such a call is done.
       if (call.isDone() || !f.isSuccess()) {
         request.release();
-        call.end(AttemptStatus.CONNECT_FAILED, null);
+        call.complete(AttemptStatus.CONNECT_FAILED, null);
         connect.channel().close();
       } else if (!call.isWanted()) {
         request.release();
-        call.end(AttemptStatus.NOT_SENT, null);
+        call.complete(AttemptStatus.NOT_SENT, null);
         connect.channel().close();
       } else {
         connect.channel().pipeline().get(Connection.class).write(call, request);
@@ -149,7 +149,7 @@
   /** Upstreams drain or are gone: no connection to them is used again, and what has not been sent stays unsent. */
   public void withdraw(LongPredicate from) {
     List.copyOf(idle.keySet()).stream().filter(from::test).forEach(this::closeIdle);
-    List.copyOf(connecting).stream().filter(call -> from.test(call.upstream)).forEach(this::cancel);
+    List.copyOf(connecting).stream().filter(call -> from.test(call.endpointId())).forEach(this::cancel);
   }
 
   public void closeIdle(long upstream) {
@@ -160,7 +160,7 @@
   }
 
   /** Closes the connection that has stood idle longest; false if none is idle. */
-  public boolean closeOldest() {
+  public boolean closeLongestIdle() {
     Connection oldest = null;
     for (ArrayDeque<Connection> connections : idle.values()) {
       Connection last = connections.peekLast();
@@ -178,7 +178,7 @@
   private void abandon(UpstreamCall call, AttemptStatus unwritten, AttemptStatus written) {
     if (!call.isDone()) {
       Channel channel = call.channel;
-      call.end(call.written ? written : unwritten, null);
+      call.complete(call.written ? written : unwritten, null);
       if (channel != null) {
         channel.close();
       }
@@ -294,7 +294,7 @@
       nothingBegun();
       channel.close();
       if (spoilt != null) {
-        spoilt.end(AttemptStatus.RESET, null);
+        spoilt.complete(AttemptStatus.RESET, null);
       }
     }
 
@@ -311,14 +311,14 @@
 
     void write(UpstreamCall next, FullHttpRequest request) {
       call = next;
-      upstream = next.upstream;
+      upstream = next.endpointId();
       next.channel = channel;
       channel.writeAndFlush(request).addListener(f -> {
         if (f.isSuccess()) {
           next.written = true;
         } else {
           channel.close();
-          next.end(AttemptStatus.CONNECT_FAILED, null);
+          next.complete(AttemptStatus.CONNECT_FAILED, null);
         }
       });
     }
@@ -352,7 +352,7 @@
       } else {
         channel.close();
       }
-      answered.end(status, response);
+      answered.complete(status, response);
     }
 
     @Override
@@ -366,7 +366,7 @@
         connections.remove(this);
       }
       if (call != null) {
-        call.end(call.written ? AttemptStatus.RESET : AttemptStatus.CONNECT_FAILED, null);
+        call.complete(call.written ? AttemptStatus.RESET : AttemptStatus.CONNECT_FAILED, null);
         call = null;
       }
     }
--- a/src/main/java/loadbalancer/upstream/LoadReport.java
+++ b/src/main/java/loadbalancer/upstream/LoadReport.java
@@ -13,7 +13,7 @@
   private LoadReport() {}
 
   /** Its figures by name; empty where none came, and anything that is not a figure is skipped. */
-  public static Map<String, Double> of(HttpHeaders headers) {
+  public static Map<String, Double> parse(HttpHeaders headers) {
     String text = headers.get(HEADER);
     if (text == null || !text.startsWith(TEXT_FORM)) {
       return Map.of();
--- a/src/test/java/loadbalancer/discovery/DiscoveryClientTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryClientTest.java
@@ -1,5 +1,6 @@
 package loadbalancer.discovery;
 
+import loadbalancer.proxy.AgentRetryPolicy;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -34,7 +35,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** The list and its changes, and that no failure of discovery goes unnoticed. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class DiscoveryClientTest {
 
   private static final String A = ProxyFixture.member("s-a", "127.0.0.1:1", "ready");
@@ -229,7 +230,7 @@
   }
 
   private static long backoffMillis(boolean pushed, int failures) {
-    return pushed ? ProxyServer.agentBackoffMillis(failures) : TimeUnit.NANOSECONDS.toMillis(LoadBalancingEngine.askBackoff(failures));
+    return pushed ? AgentRetryPolicy.backoffMillis(failures) : TimeUnit.NANOSECONDS.toMillis(LoadBalancingEngine.askBackoff(failures));
   }
 
   /** How a call fails. */
@@ -273,7 +274,7 @@
         took.put(failure, cases.submit(() -> millisToNews(failure, 4, mode)));
       }
       for (Map.Entry<Failure, Future<Long>> one : took.entrySet()) {
-        long millis = one.getValue().get(ProxyFixture.LIMIT_S, TimeUnit.SECONDS);
+        long millis = one.getValue().get(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertTrue(millis < DiscoveryClient.TOLD_MILLIS - 1000, one.getKey() + ": the news came after " + millis + " ms");
       }
     } finally {
@@ -303,7 +304,7 @@
         }
         logic.handle(now, event, out);
       })) {
-        assertEquals("FULL 1 DRAINING", word(told.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS)));
+        assertEquals("FULL 1 DRAINING", word(told.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS)));
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reachableAt.get());
       }
     }
@@ -342,9 +343,9 @@
     MonotonicClock clock = new MonotonicClock();
     long second = TimeUnit.SECONDS.toNanos(1);
     long wall = System.currentTimeMillis();
-    assertEquals(0, clock.atUnixMillis(0), "long ago");
-    assertEquals(clock.atUnixMillis(wall), clock.atUnixMillis(wall - 1000) + second);
-    assertTrue(Math.abs(clock.now() - clock.atUnixMillis(System.currentTimeMillis())) < 60 * second);
-    assertTrue(clock.atUnixMillis(1) > 0, "older than the process is not long ago");
+    assertEquals(0, clock.nanosAtUnixMillis(0), "long ago");
+    assertEquals(clock.nanosAtUnixMillis(wall), clock.nanosAtUnixMillis(wall - 1000) + second);
+    assertTrue(Math.abs(clock.nowNanos() - clock.nanosAtUnixMillis(System.currentTimeMillis())) < 60 * second);
+    assertTrue(clock.nanosAtUnixMillis(1) > 0, "older than the process is not long ago");
   }
 }
--- a/src/test/java/loadbalancer/downstream/ClientDisconnectTest.java
+++ b/src/test/java/loadbalancer/downstream/ClientDisconnectTest.java
@@ -31,7 +31,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Clients that leave, or end their sending and still listen, while their request waits or is out. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class ClientDisconnectTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
@@ -101,7 +101,7 @@
       }
     }); ProxyFixture rig = new ProxyFixture(one(upstream), module); Client client = rig.client()) {
       client.write(ProxyFixture.get("t", ""));
-      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
       cue.countDown();
@@ -130,7 +130,7 @@
     ScriptedEngine module = new ScriptedEngine(LONG);
     try (FakeServer upstream = onCue(cue); ProxyFixture rig = new ProxyFixture(one(upstream), module); Client client = rig.client()) {
       client.write(ProxyFixture.get("t", ""));
-      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
       cue.countDown();
@@ -232,7 +232,7 @@
         ProxyFixture rig = new ProxyFixture(two(first, second), module); Client client = rig.client(); Client other = rig.client()) {
       leaving.set(client);
       client.write(ProxyFixture.get("t", ""));
-      assertNotNull(first.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(first.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       assertTrue(other.ask(ProxyFixture.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
       AttemptEnded copy = module.next(AttemptEnded.class);
       assertEquals(AttemptStatus.NOT_SENT, copy.status());
@@ -250,7 +250,7 @@
     ScriptedEngine module = new ScriptedEngine(0);
     try (AttemptTest.Silent upstream = new AttemptTest.Silent();
         ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request",
-            1000 * ProxyFixture.LIMIT_S, 1024, ""), module); Client client = rig.client()) {
+            1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, ""), module); Client client = rig.client()) {
       client.write(ProxyFixture.get("t", ""));
       module.next(RequestArrived.class);
       client.socket.shutdownOutput();
@@ -267,7 +267,7 @@
     CountDownLatch cue = new CountDownLatch(1);
     try (FakeServer upstream = onCue(cue); ProxyFixture rig = new ProxyFixture(one(upstream), new ScriptedEngine(LONG)); Client client = rig.client()) {
       client.write(ProxyFixture.get("t1", "") + ProxyFixture.get("t2", ""));
-      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       client.socket.shutdownOutput();
       awaitLeft(rig);
       cue.countDown();
--- a/src/test/java/loadbalancer/downstream/MisbehavingClientTest.java
+++ b/src/test/java/loadbalancer/downstream/MisbehavingClientTest.java
@@ -21,7 +21,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Clients that send what can't be used, or nothing: each gets an error or a close, and no one else notices. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class MisbehavingClientTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
@@ -73,7 +73,7 @@
       c.ends();
     }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client()) {
       client.write(ProxyFixture.get("t", ""));
-      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       client.write("POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 65537\r\n\r\n");
       bad.countDown();
       assertTrue(client.answer().endsWith("\r\n\r\nfirst"));
@@ -123,7 +123,7 @@
       }
     }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client(); Client thief = rig.client()) {
       client.write(ProxyFixture.get("t", ""));
-      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       assertTrue(thief.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 409 "));
       done.countDown();
       assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
@@ -169,7 +169,7 @@
       String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
       assertTrue(idle.ask(health).startsWith("HTTP/1.1 200 "));
       served.write(ProxyFixture.get("t", ""));
-      assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       for (int i = 0; i < 60; i++) {
         silent.add(rig.client());
       }
--- a/src/test/java/loadbalancer/net/RoundingIoHandlerTest.java
+++ b/src/test/java/loadbalancer/net/RoundingIoHandlerTest.java
@@ -67,7 +67,7 @@
   void aLoopSleepsUntilATimerIsDue() throws Exception {
     AtomicInteger turns = new AtomicInteger();
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
-        executor -> new Counting(ProxyServer.loops().newHandler(executor), turns));
+        executor -> new Counting(RoundingIoHandler.newFactory().newHandler(executor), turns));
     try {
       CountDownLatch fired = new CountDownLatch(TIMERS);
       // One after the other, at no whole number of milliseconds.
@@ -81,7 +81,7 @@
         }
       };
       group.next().execute(timer);
-      assertTrue(fired.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS), "the timers have not all come");
+      assertTrue(fired.await(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS), "the timers have not all come");
       assertTrue(turns.get() <= TURNS_A_TIMER * TIMERS, turns.get() + " turns for " + TIMERS + " timers");
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/test/java/loadbalancer/proxy/EventOrderTest.java
+++ b/src/test/java/loadbalancer/proxy/EventOrderTest.java
@@ -39,7 +39,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Two events in one turn of the event loop, in the order that is asked for: the loop is held while both happen. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class EventOrderTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
@@ -90,7 +90,7 @@
     void does(FakeServer.ScriptedEngine order) {
       orders.add(order);
       try {
-        assertNotNull(done.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+        assertNotNull(done.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
@@ -169,7 +169,7 @@
         default -> throw new IllegalStateException();
       }
       client.write(ProxyFixture.get("t", ""));
-      assertNotNull(upstream.server.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.server.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       cue.ask(ProxyFixture.get("cue-1", CUE));
       AttemptEnded first = module.next(AttemptEnded.class);
       assertEquals(ends.status, first.status());
@@ -177,7 +177,7 @@
       assertTrue(answer.startsWith(ends.status == AttemptStatus.SUCCESS ? "HTTP/1.1 200 " : "HTTP/1.1 502 "), answer);
       // And what follows gets its own answer, on whatever connection.
       client.write(ProxyFixture.get("t2", ""));
-      assertNotNull(upstream.server.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(upstream.server.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       upstream.does(c -> c.write(FakeServer.ok("second")));
       assertTrue(client.answer().endsWith("\r\n\r\nsecond"), "its own answer");
       assertNotEquals(first.requestId(), module.next(AttemptEnded.class).requestId(), "one outcome an attempt");
@@ -260,7 +260,7 @@
     try (FakeServer fresh = new FakeServer(FakeServer.Connection::ends);
         ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true), "pushed", 200, 1024, ""), module); Client cue = rig.client();
         Client other = rig.client()) {
-      Thread stop = new Thread(rig.server::stop);
+      Thread stop = new Thread(rig.server::shutDownGracefully);
       cues.add(out -> {
         if (stopFirst) {
           stop.start();
@@ -273,9 +273,9 @@
         }
       });
       assertTrue(cue.ask(ProxyFixture.get("cue", CUE)).startsWith("HTTP/1.1 429 "));
-      assertNotNull(fresh.connections.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS), "discovery is followed");
+      assertNotNull(fresh.connections.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS), "discovery is followed");
       assertTrue(other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 503 "), "it stops");
-      stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
+      stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.TIMEOUT_SECONDS));
       assertTrue(!stop.isAlive(), "ends");
     }
   }
@@ -331,7 +331,7 @@
 
   private static void await(CountDownLatch latch) {
     try {
-      assertTrue(latch.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertTrue(latch.await(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/src/test/java/loadbalancer/proxy/GracefulShutdownTest.java
+++ b/src/test/java/loadbalancer/proxy/GracefulShutdownTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** The end of a balancer, while clients go on sending. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class GracefulShutdownTest {
 
   private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
@@ -35,9 +35,9 @@
   }
 
   private static Thread stop(ProxyFixture rig) {
-    Thread stop = new Thread(rig.server::stop);
+    Thread stop = new Thread(rig.server::shutDownGracefully);
     stop.start();
-    rig.server.awaitStopping();
+    rig.server.awaitShutdownStart();
     return stop;
   }
 
@@ -50,7 +50,7 @@
   }
 
   private static void awaitEnd(Thread stop) throws InterruptedException {
-    stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
+    stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.TIMEOUT_SECONDS));
     assertTrue(!stop.isAlive(), "ends");
   }
 
@@ -96,7 +96,7 @@
       @Override
       Client cross(ProxyFixture rig, Client open) throws IOException {
         open.write(ProxyFixture.get("crossing", ""));
-        rig.server.frontend().end();
+        rig.server.frontend().expireIncompleteRequests();
         return open;
       }
     };
@@ -128,7 +128,7 @@
       started.set(rig);
       open.set(client);
       assertTrue(other.ask(ProxyFixture.get("cue", "X-Size-Hint: 7\r\n")).startsWith("HTTP/1.1 429 "));
-      try (Client found = crossed.get(ProxyFixture.LIMIT_S, TimeUnit.SECONDS)) {
+      try (Client found = crossed.get(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
         String answer = found.answer();
         assertNotNull(answer, "closed over the request");
         assertTrue(answer.startsWith("HTTP/1.1 429 "), answer);
--- a/src/test/java/loadbalancer/proxy/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/proxy/LargeFleetIT.java
@@ -29,7 +29,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 /** The program as it is deployed, at its limits of memory and descriptors, in a large fleet. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class LargeFleetIT {
 
   private static final int MANY = 1024;
@@ -68,7 +68,7 @@
   }
 
   private static String ask(Socket client, String text) throws IOException {
-    client.setSoTimeout(ProxyFixture.LIMIT_S * 1000);
+    client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
     client.getOutputStream().write(text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
     return FakeServer.Message.read(client.getInputStream());
   }
@@ -172,7 +172,7 @@
       }
       cue.countDown();
       for (Socket client : open) {
-        client.setSoTimeout(ProxyFixture.LIMIT_S * 1000);
+        client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
         String answer = FakeServer.Message.read(client.getInputStream());
         assertTrue(answer.endsWith("slow") || answer.endsWith("known") || answer.startsWith("HTTP/1.1 429 "), answer);
         client.close();
--- a/src/test/java/loadbalancer/proxy/ProxyTest.java
+++ b/src/test/java/loadbalancer/proxy/ProxyTest.java
@@ -36,7 +36,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** What a client sees, over real connections. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class ProxyTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
@@ -198,7 +198,7 @@
       }
     });
     try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-      peer.setSoTimeout(ProxyFixture.LIMIT_S * 1000);
+      peer.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
       String more = "\"peer_listen\":\"127.0.0.1:" + freePort() + "\",\"peers\":[\"127.0.0.1:1\",\"127.0.0.1:"
           + peer.getLocalPort() + "\"],\"peers_all\":\"127.0.0.1:" + peer.getLocalPort() + "\",";
       BalancerConfig config = ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 1024, more);
@@ -230,16 +230,16 @@
       }
     }); ProxyFixture rig = new ProxyFixture(one(upstream)); Client old = rig.client()) {
       assertTrue(old.ask(ProxyFixture.get("t1", "")).startsWith("HTTP/1.1 200 "));
-      Thread stop = new Thread(rig.server::stop);
+      Thread stop = new Thread(rig.server::shutDownGracefully);
       stop.start();
-      rig.server.awaitStopping();
+      rig.server.awaitShutdownStart();
       try (Client late = rig.client()) {
         assertTrue(late.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 503 "), "go elsewhere");
         assertTrue(late.ask(ProxyFixture.get("t2", "")).startsWith("HTTP/1.1 200 "));
         assertNull(late.answer(), "and the connection ends");
       }
       assertNull(old.answer(), "as does one from before");
-      stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
+      stop.join(TimeUnit.SECONDS.toMillis(ProxyFixture.TIMEOUT_SECONDS));
       assertTrue(!stop.isAlive(), "ends once no client is left");
     }
   }
--- a/src/test/java/loadbalancer/proxy/ReloadTest.java
+++ b/src/test/java/loadbalancer/proxy/ReloadTest.java
@@ -26,7 +26,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /** A configuration that is read again while the balancer serves, and lists that are not to be believed. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class ReloadTest {
 
   private static final String A = ProxyFixture.member("s-a", "127.0.0.1:1", "ready");
@@ -97,8 +97,8 @@
   private static List<Integer> sizes(EndpointList... lists) {
     EndpointDirectory fleet = new EndpointDirectory(new MonotonicClock());
     return Arrays.stream(lists).map(l -> {
-      fleet.take(l.complete() ? UpdateKind.FULL : UpdateKind.DELTA, l);
-      return fleet.held().endpoints().size();
+      fleet.apply(l.complete() ? UpdateKind.FULL : UpdateKind.DELTA, l);
+      return fleet.snapshot().endpoints().size();
     }).toList();
   }
 
--- a/src/test/java/loadbalancer/proxy/StartupTest.java
+++ b/src/test/java/loadbalancer/proxy/StartupTest.java
@@ -88,7 +88,7 @@
    * to what the old list still called ready.
    */
   @Test
-  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
   void aStartWaitsForWhatDiscoveryHasToTell() throws Exception {
     ScriptedEngine module = new ScriptedEngine((event, out) -> { });
     CountDownLatch prepared = new CountDownLatch(1);
@@ -99,18 +99,18 @@
       c.write(DiscoveryMessages.watch(ProxyFixture.list(2, false, ProxyFixture.member("s-a", "127.0.0.1:1", "draining"))));
       c.ends();
     })) {
-      ProxyServer server = ProxyServer.prepare(pushed(discovery), n -> module, TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
+      ProxyServer server = ProxyServer.prepare(pushed(discovery), n -> module, TimeUnit.SECONDS.toMillis(ProxyFixture.TIMEOUT_SECONDS));
       prepared.countDown();
       assertEquals(UpdateKind.CACHED, module.next(EndpointListUpdate.class).kind());
       assertEquals(EndpointState.DRAINING, module.next(EndpointListUpdate.class).endpoints().get(0).state());
-      server.shutDown();
+      server.shutDownNow();
     }
     assertFalse(early.get(), "ready before the list came");
   }
 
   /** Discovery is down: its agent is silent, and the service goes on with what was known. */
   @Test
-  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
   void withoutDiscoveryItStartsWithTheListThatWasKnown() throws Exception {
     ScriptedEngine module = new ScriptedEngine(TimeUnit.SECONDS.toNanos(30));
     try (FakeServer discovery = new FakeServer(c -> {
@@ -122,14 +122,14 @@
       try (ProxyFixture.Client client = new ProxyFixture.Client(server)) {
         assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
       } finally {
-        server.shutDown();
+        server.shutDownNow();
       }
     }
   }
 
   /** A signal each has a thread of its own: the file that was read first must not be carried out last. */
   @Test
-  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
   void ofTwoReloadsAtOnceTheLaterFileHolds() throws Exception {
     try (FakeServer old = new FakeServer(FakeServer.Connection::next);
         FakeServer next = new FakeServer(FakeServer.Connection::next);
@@ -147,7 +147,7 @@
       second.join();
       // Carried out last it would be watched from here on: its agents end every watch, and each end brings the next one.
       last.requests.clear();
-      assertNotNull(last.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+      assertNotNull(last.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
     }
   }
 }
--- a/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -82,19 +82,19 @@
     second.call = new UpstreamCall(8, () -> true, (status, answer) -> { });
     x.attempts.addAll(List.of(first, second));
     x.unreadNanos = 12 * MS;
-    trail.answered(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
+    trail.responded(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
     assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms, read up to 12 ms late; sent to s-7 at 10, RESET after 40; "
         + "sent to s-8 at 60, out"), lines);
   }
 
   @Test
   void whatEndedWellOrWasRefusedAtOnceIsOnlyCounted() {
-    trail.attempted(AttemptStatus.SUCCESS);
-    trail.attempted(AttemptStatus.REJECTED);
-    trail.timer(3 * MS);
-    trail.answered(taken("good", 0), HttpResponseStatus.OK, 400 * MS);
-    trail.answered(taken("refused", 500 * MS), HttpResponseStatus.TOO_MANY_REQUESTS, 501 * MS);
-    trail.answered(taken("next", 1400 * MS), HttpResponseStatus.OK, 1500 * MS);
+    trail.attemptEnded(AttemptStatus.SUCCESS);
+    trail.attemptEnded(AttemptStatus.REJECTED);
+    trail.timerFired(3 * MS);
+    trail.responded(taken("good", 0), HttpResponseStatus.OK, 400 * MS);
+    trail.responded(taken("refused", 500 * MS), HttpResponseStatus.TOO_MANY_REQUESTS, 501 * MS);
+    trail.responded(taken("next", 1400 * MS), HttpResponseStatus.OK, 1500 * MS);
     assertEquals(List.of("served 2, 0 of them past the aim; refused 1 at once, 0 later; failed 0; attempts 1 SUCCESS 1 REJECTED; "
         + "loop behind by 3 ms at most"), lines);
   }
@@ -103,10 +103,10 @@
   @Test
   void aBadSecondLeavesFewLines() {
     for (int i = 0; i < 1000; i++) {
-      trail.answered(taken("t" + i, 0), HttpResponseStatus.BAD_GATEWAY, 100 * MS);
+      trail.responded(taken("t" + i, 0), HttpResponseStatus.BAD_GATEWAY, 100 * MS);
     }
     assertTrue(lines.size() < 10, "lines: " + lines.size());
-    trail.answered(taken("later", 1200 * MS), HttpResponseStatus.OK, 1300 * MS);
+    trail.responded(taken("later", 1200 * MS), HttpResponseStatus.OK, 1300 * MS);
     assertTrue(lines.get(lines.size() - 1).contains("failed 1000;"), lines.get(lines.size() - 1));
   }
 }
--- a/src/test/java/loadbalancer/testing/DiscoveryMessages.java
+++ b/src/test/java/loadbalancer/testing/DiscoveryMessages.java
@@ -24,7 +24,7 @@
   /** The module's number of an upstream. */
   public static long number(String id) {
     EndpointList.Member server = new EndpointList.Member(id, null, "a", 0, EndpointState.READY, 1, 0);
-    return new EndpointDirectory(new MonotonicClock()).take(UpdateKind.FULL, new EndpointList(1, true, List.of(server)))
+    return new EndpointDirectory(new MonotonicClock()).apply(UpdateKind.FULL, new EndpointList(1, true, List.of(server)))
         .endpoints().get(0).id();
   }
 }
--- a/src/test/java/loadbalancer/testing/FakeServer.java
+++ b/src/test/java/loadbalancer/testing/FakeServer.java
@@ -160,13 +160,13 @@
 
     /** Waits until the script is through: its last read found the end, or it closed. */
     public boolean awaitEnd() throws InterruptedException {
-      return over.await(ProxyFixture.LIMIT_S, TimeUnit.SECONDS);
+      return over.await(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
     /** Waits until the other side closes; false if it says more first, or is still there at the limit. */
     public boolean ends() {
       try {
-        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(ProxyFixture.LIMIT_S));
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(ProxyFixture.TIMEOUT_SECONDS));
         return in.read() < 0;
       } catch (SocketTimeoutException e) {
         return false;
--- a/src/test/java/loadbalancer/testing/ProxyFixture.java
+++ b/src/test/java/loadbalancer/testing/ProxyFixture.java
@@ -33,7 +33,7 @@
 public final class ProxyFixture implements AutoCloseable {
 
   /** A generous limit for what has to happen: no test passes by its running out. */
-  public static final int LIMIT_S = 60;
+  public static final int TIMEOUT_SECONDS = 60;
 
   private static final String CLASS = "{\"name\":\"%s\",\"effect\":\"%s\",\"dedup-scope\":\"cell\","
       + "\"window-ns\":2000000000,\"aim-ns\":20000000000,\"deadline-ns\":40000000000}";
@@ -76,7 +76,7 @@
     /** Waits for the next event of a kind, past all others. */
     public <T extends Event> T next(Class<T> kind) throws InterruptedException {
       while (true) {
-        Event event = events.poll(LIMIT_S, TimeUnit.SECONDS);
+        Event event = events.poll(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertNotNull(event, "no " + kind.getSimpleName() + " came");
         if (kind.isInstance(event)) {
           return kind.cast(event);
@@ -93,7 +93,7 @@
 
     public Client(ProxyServer server) throws IOException {
       socket = new Socket(InetAddress.getLoopbackAddress(), server.address().getPort());
-      socket.setSoTimeout(LIMIT_S * 1000);
+      socket.setSoTimeout(TIMEOUT_SECONDS * 1000);
       in = new BufferedInputStream(socket.getInputStream());
     }
 
@@ -137,7 +137,7 @@
 
   @Override
   public void close() {
-    server.shutDown();
+    server.shutDownNow();
   }
 
   /** A safe request with further header lines, each ended by CRLF. */
--- a/src/test/java/loadbalancer/upstream/AttemptTest.java
+++ b/src/test/java/loadbalancer/upstream/AttemptTest.java
@@ -47,7 +47,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** How attempts end, by what an upstream does on its connection. */
-@Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class AttemptTest {
 
   private static final String NOWHERE = "127.0.0.1:1";
@@ -265,7 +265,7 @@
   void theTimeOutCoversConnecting() throws Exception {
     ScriptedEngine module = new ScriptedEngine(TimeUnit.MILLISECONDS.toNanos(100));
     try (Silent upstream = new Silent(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
-        ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 1000 * ProxyFixture.LIMIT_S, 1024, ""), module);
+        ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, ""), module);
         Client client = rig.client()) {
       client.ask(ProxyFixture.get("t", ""));
       assertEquals(AttemptStatus.CONNECT_FAILED, module.next(AttemptEnded.class).status(), "it was never written");
@@ -291,7 +291,7 @@
         }
       });
       BalancerConfig config = ProxyFixture.config(discovery.address(), ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")),
-          "on_request", 1000 * ProxyFixture.LIMIT_S, 1024, "");
+          "on_request", 1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, "");
       try (ProxyFixture rig = new ProxyFixture(config, module); Client client = rig.client()) {
         client.write(ProxyFixture.get("t", ""));
         module.next(RequestArrived.class);
@@ -305,7 +305,7 @@
   void aSendStillConnectingIsNotWrittenOnceItsClientIsGone() throws Exception {
     ScriptedEngine module = cancelling();
     try (Silent upstream = new Silent(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
-        ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 1000 * ProxyFixture.LIMIT_S, 1024, ""), module)) {
+        ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, ""), module)) {
       try (Client client = rig.client()) {
         client.write(ProxyFixture.get("t", ""));
         module.next(RequestArrived.class);
@@ -332,7 +332,7 @@
         }
       });
       String text = ProxyFixture.text(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", breaking.address(), "ready"),
-          ProxyFixture.member("s-2", late.address(), "ready")), "on_request", 1000 * ProxyFixture.LIMIT_S, 1024, "");
+          ProxyFixture.member("s-2", late.address(), "ready")), "on_request", 1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, "");
       BalancerConfig config = BalancerConfig.parse(text.replace("\"window-ns\":2000000000", "\"window-ns\":300000000"), Map.of());
       try (ProxyFixture rig = new ProxyFixture(config, module); Client client = rig.client()) {
         client.write(ProxyFixture.post("t", "Idempotency-Key: k\r\n", "body"));
@@ -396,7 +396,7 @@
       FakeServer.Connection connection;
       try (Client client = rig.client()) {
         client.write(ProxyFixture.get("t", ""));
-        assertNotNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS));
+        assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
         connection = upstream.connections.take();
         client.socket.setSoLinger(true, 0); // A reset: an end of the sending alone may leave a client that still listens.
       }
@@ -451,7 +451,7 @@
       client.ask(ProxyFixture.get("t1", ""));
       FakeServer.Connection connection = upstream.connections.take();
       upstream.requests.take();
-      assertNull(upstream.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.MILLISECONDS));
+      assertNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.MILLISECONDS));
       assertTrue(connection.awaitEnd(), "closed with no word from the upstream");
     }
   }
@@ -549,7 +549,7 @@
       List<Client> asking = List.of(second, third, first);
       for (int i = 0; i < 3; i++) {
         asking.get(i).write(ProxyFixture.get("busy" + i, "X-Customer: true\r\n"));
-        assertNotNull(busy.requests.poll(ProxyFixture.LIMIT_S, TimeUnit.SECONDS), "the idle connection made room for the third");
+        assertNotNull(busy.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS), "the idle connection made room for the third");
       }
       try (Client last = rig.client()) {
         last.ask(ProxyFixture.get("t4", "X-Customer: true\r\n"));
--- a/src/test/java/loadbalancer/upstream/IdleReusePolicyTest.java
+++ b/src/test/java/loadbalancer/upstream/IdleReusePolicyTest.java
@@ -51,7 +51,7 @@
 
   /** An upstream that forgets its connections as soon as they stand idle: most of what is asked is still served. */
   @Test
-  @Timeout(value = 2 * ProxyFixture.LIMIT_S, unit = TimeUnit.SECONDS)
+  @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
   void connectionsThatBreakWhenUsedAgainAreNotUsedAgain() throws Exception {
     int asked = 400;
     int broken = 0;
