--- a/src/main/java/loadbalancer/decision/LoadBalancingEngine.java
+++ b/src/main/java/loadbalancer/decision/LoadBalancingEngine.java
@@ -184,8 +184,8 @@
     settings.classes().forEach(c -> classes.put(c.name(), c));
     settings.tenants().stream().filter(t -> t.quotaPerSecond() > 0)
         .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.instanceCount()));
-    shortestAim = settings.classes().stream().mapToLong(RequestClass::aimNanos).min().getAsLong();
-    long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
+    shortestAim = settings.classes().stream().mapToLong(RequestClass::latencyObjectiveNanos).min().getAsLong();
+    long longest = settings.classes().stream().mapToLong(RequestClass::latencyObjectiveNanos).max().getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     sweep = shortestAim / SWEEPS;
     fleet = new SlidingWindow(window, 0);
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -251,9 +251,9 @@
         restart(event);
       }
       if (event instanceof AttemptEnded o) {
-        forget(exchanges.get(o.id()));
+        forget(exchanges.get(o.requestId()));
       } else if (event instanceof ClientDisconnected g) {
-        forget(exchanges.get(g.id()));
+        forget(exchanges.get(g.requestId()));
       }
     }
   }
--- a/src/main/java/loadbalancer/simulator/ActionEncoder.java
+++ b/src/main/java/loadbalancer/simulator/ActionEncoder.java
@@ -11,6 +11,7 @@
 import loadbalancer.decision.api.Action.FetchEndpoints;
 import loadbalancer.decision.api.Action.RejectRequest;
 import loadbalancer.decision.api.Action.SendGossip;
+import loadbalancer.decision.api.Action.LogMessage;
 import loadbalancer.decision.api.Action.SetTimer;
 import loadbalancer.decision.api.Action.StartAttempt;
 import loadbalancer.decision.api.Action.WatchEndpoints;
@@ -57,7 +58,7 @@
       open(out, "BroadcastTo");
       out.writeNumberField("recipient", a.to());
       out.writeStringField("octets", Base64.getEncoder().encodeToString(a.data()));
-    } else if (action instanceof Log a) {
+    } else if (action instanceof LogMessage a) {
       open(out, "Emit");
       out.writeStringField("note-text", a.text());
     }
--- a/src/test/java/loadbalancer/discovery/DiscoveryClientTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryClientTest.java
@@ -256,9 +256,9 @@
     REFUSED(c -> c.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")),
     MALFORMED(c -> c.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot JSON\n"));
 
-    private final FakeServer.ScriptedEngine call;
+    private final FakeServer.Script call;
 
-    Failure(FakeServer.ScriptedEngine call) {
+    Failure(FakeServer.Script call) {
       this.call = call;
     }
   }
--- a/src/test/java/loadbalancer/downstream/ClientDisconnectTest.java
+++ b/src/test/java/loadbalancer/downstream/ClientDisconnectTest.java
@@ -23,7 +23,7 @@
 import loadbalancer.testing.ProxyFixture;
 import loadbalancer.testing.ProxyFixture.Client;
 import loadbalancer.testing.ProxyFixture.ScriptedEngine;
-import loadbalancer.upstream.AttemptTest;
+import loadbalancer.testing.UnresponsiveUpstream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -248,7 +248,7 @@
   @Test
   void aRequestThatStillConnectsEndsAtOnceWhenItsClientEndsItsSending() throws Exception {
     ScriptedEngine module = new ScriptedEngine(0);
-    try (AttemptTest.Silent upstream = new AttemptTest.Silent();
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream();
         ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request",
             1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, ""), module); Client client = rig.client()) {
       client.write(ProxyFixture.get("t", ""));
--- a/src/test/java/loadbalancer/proxy/EventOrderTest.java
+++ b/src/test/java/loadbalancer/proxy/EventOrderTest.java
@@ -76,7 +76,7 @@
 
   /** An upstream whose connections do what they are told; they have done it when {@link #does} returns. */
   private static final class Puppet implements AutoCloseable {
-    private final BlockingQueue<FakeServer.ScriptedEngine> orders = new LinkedBlockingQueue<>();
+    private final BlockingQueue<FakeServer.Script> orders = new LinkedBlockingQueue<>();
     private final BlockingQueue<Boolean> done = new LinkedBlockingQueue<>();
     final FakeServer server = new FakeServer(c -> {
       while (c.next() != null) {
@@ -87,7 +87,7 @@
 
     Puppet() throws IOException {}
 
-    void does(FakeServer.ScriptedEngine order) {
+    void does(FakeServer.Script order) {
       orders.add(order);
       try {
         assertNotNull(done.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
@@ -122,9 +122,9 @@
     });
 
     final AttemptStatus status;
-    final FakeServer.ScriptedEngine upstream;
+    final FakeServer.Script upstream;
 
-    Ends(AttemptStatus status, FakeServer.ScriptedEngine upstream) {
+    Ends(AttemptStatus status, FakeServer.Script upstream) {
       this.status = status;
       this.upstream = upstream;
     }
--- a/src/test/java/loadbalancer/proxy/GracefulShutdownTest.java
+++ b/src/test/java/loadbalancer/proxy/GracefulShutdownTest.java
@@ -63,7 +63,7 @@
       if (event instanceof RequestArrived r) {
         if (r.workHintNanos() > 0) {
           write(idle.get(), ProxyFixture.get("crossing", ""));
-          started.get().server.frontend().close();
+          started.get().server.frontend().closeIdleConnections();
         }
         out.accept(new RejectRequest(r.requestId(), 0));
       }
@@ -87,7 +87,7 @@
       @Override
       Client cross(ProxyFixture rig, Client open) throws IOException {
         Client accepted = rig.client().write(ProxyFixture.get("crossing", ""));
-        rig.server.frontend().acceptNoMore();
+        rig.server.frontend().stopAccepting();
         return accepted;
       }
     },
--- a/src/test/java/loadbalancer/proxy/ReloadTest.java
+++ b/src/test/java/loadbalancer/proxy/ReloadTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import loadbalancer.net.SocketAddresses;
 import loadbalancer.config.BalancerConfig;
 import loadbalancer.json.MalformedInputException;
 import loadbalancer.decision.api.Action.WatchEndpoints;
@@ -103,9 +104,9 @@
   }
 
   private static EndpointList list(int revision, boolean complete, String... ids) throws Exception {
-    List<EndpointList.ProxyServer> members = new ArrayList<>();
+    List<EndpointList.Member> members = new ArrayList<>();
     for (String id : ids) {
-      members.add(new EndpointList.ProxyServer(id, BalancerConfig.address("a", "127.0.0.1:1"), "a", 0, EndpointState.READY, 1, 0));
+      members.add(new EndpointList.Member(id, SocketAddresses.parse("a", "127.0.0.1:1"), "a", 0, EndpointState.READY, 1, 0));
     }
     return new EndpointList(revision, complete, members);
   }
--- a/src/test/java/loadbalancer/proxy/StartupTest.java
+++ b/src/test/java/loadbalancer/proxy/StartupTest.java
@@ -139,7 +139,7 @@
       rig.server.reload(() -> {
         second.start();
         // The second signal's thread has either carried out its file, or waits for this one to be through.
-        while (second.getState() != Thread.EndpointState.BLOCKED && second.getState() != Thread.EndpointState.TERMINATED) {
+        while (second.getState() != Thread.State.BLOCKED && second.getState() != Thread.State.TERMINATED) {
           Thread.onSpinWait();
         }
         return pushed(next);
--- a/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -3,11 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -18,8 +14,6 @@
 import loadbalancer.decision.api.DedupScope;
 import loadbalancer.decision.api.Idempotence;
 import loadbalancer.decision.api.RequestClass;
-import loadbalancer.proxy.ProxiedRequest;
-import loadbalancer.upstream.UpstreamCall;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -56,33 +50,32 @@
     logger.removeHandler(handler);
   }
 
-  private static ProxiedRequest taken(String id, long at) {
-    ProxiedRequest x = new ProxiedRequest(id, TYPE, null, null, 0, false, at + 2000 * MS,
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), new ProxiedRequest.Reply() {
-          @Override
-          public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {}
-
-          @Override
-          public boolean isAwaited() {
-            return true;
-          }
-        });
-    x.takenAt = at;
-    return x;
+  private record FakeAttempt(long endpointId, long startedAtNanos, AttemptStatus status, long latencyNanos)
+      implements TracedAttempt {}
+
+  private record FakeRequest(String traceId, long acceptedAtNanos, long unreadNanos, List<FakeAttempt> attempts)
+      implements TracedRequest {
+
+    @Override
+    public RequestClass requestClass() {
+      return TYPE;
+    }
+
+    @Override
+    public long deadlineNanos() {
+      return acceptedAtNanos + 2000 * MS;
+    }
+  }
+
+  private static FakeRequest taken(String traceId, long at) {
+    return new FakeRequest(traceId, at, 0, List.of());
   }
 
   @Test
   void aRequestThatEndedBadlyIsToldOfWithAllItsAttempts() {
-    ProxiedRequest x = taken("t1", 0);
-    ProxiedRequest.Attempt first = new ProxiedRequest.Attempt(0, 10 * MS);
-    first.call = new UpstreamCall(7, () -> true, (status, answer) -> { });
-    first.status = AttemptStatus.RESET;
-    first.latency = 40 * MS;
-    ProxiedRequest.Attempt second = new ProxiedRequest.Attempt(1, 60 * MS);
-    second.call = new UpstreamCall(8, () -> true, (status, answer) -> { });
-    x.attempts.addAll(List.of(first, second));
-    x.unreadNanos = 12 * MS;
-    trail.responded(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
+    FakeRequest request = new FakeRequest("t1", 0, 12 * MS,
+        List.of(new FakeAttempt(7, 10 * MS, AttemptStatus.RESET, 40 * MS), new FakeAttempt(8, 60 * MS, null, 0)));
+    trail.responded(request, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
     assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms, read up to 12 ms late; sent to s-7 at 10, RESET after 40; "
         + "sent to s-8 at 60, out"), lines);
   }
--- a/src/test/java/loadbalancer/upstream/AttemptTest.java
+++ b/src/test/java/loadbalancer/upstream/AttemptTest.java
@@ -39,6 +39,7 @@
 import loadbalancer.testing.DiscoveryMessages;
 import loadbalancer.testing.FakeServer;
 import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.UnresponsiveUpstream;
 import loadbalancer.testing.ProxyFixture.Client;
 import loadbalancer.testing.ProxyFixture.ScriptedEngine;
 import org.junit.jupiter.api.Test;
@@ -57,47 +58,6 @@
     return ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream, "ready")));
   }
 
-  /** An upstream whose machine says nothing: its queue of connections is full, new ones never come up. */
-  static final class Silent implements AutoCloseable {
-    private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-    private final List<Socket> waiting = new ArrayList<>();
-
-    Silent() throws IOException {
-      while (true) {
-        Socket socket = new Socket();
-        waiting.add(socket);
-        try {
-          socket.connect(listener.getLocalSocketAddress(), 300);
-        } catch (SocketTimeoutException e) {
-          return;
-        }
-      }
-    }
-
-    String address() {
-      return "127.0.0.1:" + listener.getLocalPort();
-    }
-
-    /** The machine is back: the connection that was waited for comes up, at the next try of the network's, after a second. */
-    Socket accept() throws IOException {
-      while (true) {
-        Socket accepted = listener.accept();
-        if (waiting.stream().noneMatch(w -> w.getLocalPort() == accepted.getPort())) {
-          return accepted;
-        }
-        accepted.close();
-      }
-    }
-
-    @Override
-    public void close() throws IOException {
-      for (Socket socket : waiting) {
-        socket.close();
-      }
-      listener.close();
-    }
-  }
-
   @ParameterizedTest
   @CsvSource(delimiter = '|', value = {
     "HTTP/1.1 200 OK~Content-Length: 2~~ok | SUCCESS",
@@ -254,7 +214,7 @@
   @Test
   void connectingToASilentMachineEnds() throws Exception {
     ScriptedEngine module = new ScriptedEngine(LONG);
-    try (Silent upstream = new Silent(); ProxyFixture rig = new ProxyFixture(one(upstream.address()), module);
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream(); ProxyFixture rig = new ProxyFixture(one(upstream.address()), module);
         Client client = rig.client()) {
       client.ask(ProxyFixture.get("t", ""));
       assertEquals(AttemptStatus.CONNECT_FAILED, module.next(AttemptEnded.class).status());
@@ -264,7 +224,7 @@
   @Test
   void theTimeOutCoversConnecting() throws Exception {
     ScriptedEngine module = new ScriptedEngine(TimeUnit.MILLISECONDS.toNanos(100));
-    try (Silent upstream = new Silent(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
         ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, ""), module);
         Client client = rig.client()) {
       client.ask(ProxyFixture.get("t", ""));
@@ -275,7 +235,7 @@
   @Test
   void aSendStillConnectingIsNotWrittenOnceItsUpstreamDrains() throws Exception {
     CountDownLatch drain = new CountDownLatch(1);
-    try (Silent upstream = new Silent(); FakeServer discovery = new FakeServer(c -> {
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream(); FakeServer discovery = new FakeServer(c -> {
       c.next();
       drain.await();
       c.write(DiscoveryMessages.watch(ProxyFixture.list(2, false, ProxyFixture.member("s-1", upstream.address(), "draining"))));
@@ -304,7 +264,7 @@
   @Test
   void aSendStillConnectingIsNotWrittenOnceItsClientIsGone() throws Exception {
     ScriptedEngine module = cancelling();
-    try (Silent upstream = new Silent(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream(); ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true,
         ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 1000 * ProxyFixture.TIMEOUT_SECONDS, 1024, ""), module)) {
       try (Client client = rig.client()) {
         client.write(ProxyFixture.get("t", ""));
@@ -321,7 +281,7 @@
    */
   @Test
   void aRepeatWhoseConnectionComesUpAfterItsTimeIsNotWritten() throws Exception {
-    try (FakeServer breaking = new FakeServer(FakeServer.Connection::next); Silent late = new Silent()) {
+    try (FakeServer breaking = new FakeServer(FakeServer.Connection::next); UnresponsiveUpstream late = new UnresponsiveUpstream()) {
       ScriptedEngine module = new ScriptedEngine((event, out) -> {
         if (event instanceof RequestArrived r) {
           out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), 0));
