--- a/src/main/java/loadbalancer/decision/LoadBalancingEngine.java
+++ b/src/main/java/loadbalancer/decision/LoadBalancingEngine.java
@@ -11,30 +11,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import loadbalancer.decision.SlidingWindow.Metric;
-import loadbalancer.decision.api.Action;
-import loadbalancer.decision.api.Action.CancelAttempt;
-import loadbalancer.decision.api.Action.FailRequest;
-import loadbalancer.decision.api.Action.RejectRequest;
-import loadbalancer.decision.api.Action.SetTimer;
-import loadbalancer.decision.api.Action.StartAttempt;
-import loadbalancer.decision.api.Action.WatchEndpoints;
-import loadbalancer.decision.api.AttemptStatus;
-import loadbalancer.decision.api.DecisionEngine;
-import loadbalancer.decision.api.DedupScope;
-import loadbalancer.decision.api.Endpoint;
-import loadbalancer.decision.api.EndpointState;
-import loadbalancer.decision.api.Event;
-import loadbalancer.decision.api.Event.AttemptEnded;
-import loadbalancer.decision.api.Event.ClientDisconnected;
-import loadbalancer.decision.api.Event.EndpointListUpdate;
-import loadbalancer.decision.api.Event.RequestArrived;
-import loadbalancer.decision.api.Event.ResponseStarted;
-import loadbalancer.decision.api.Event.TimerFired;
-import loadbalancer.decision.api.Idempotence;
-import loadbalancer.decision.api.RequestClass;
-import loadbalancer.decision.api.Settings;
-import loadbalancer.decision.api.UpdateKind;
-import loadbalancer.decision.api.WeightKind;
+import loadbalancer.decision.api.*;
 
 /**
  * Every decision of a balancer; its interface (settings, events, actions) is in Balancer.java. Ordinary path:
@@ -152,7 +129,8 @@
   private final Map<Long, TrackedEndpoint> upstreams = new LinkedHashMap<>();
   private final Map<String, InFlightRequest> open = new LinkedHashMap<>();
   /** Requests without an attempt out, the most valuable first, then the oldest. */
-  private final TreeSet<InFlightRequest> held = new TreeSet<>(Comparator.comparingDouble((InFlightRequest r) -> -value(r))
+  private final TreeSet<InFlightRequest> held = new TreeSet<>(Comparator.comparingDouble((
+      InFlightRequest r) -> -value(r))
       .thenComparingLong(r -> r.arrived).thenComparing(r -> r.request.requestId()));
   private final Map<String, SlidingWindow> windows = new LinkedHashMap<>(64, 0.75f, true);
   private final SlidingWindow fleet;
@@ -184,8 +162,10 @@
     settings.classes().forEach(c -> classes.put(c.name(), c));
     settings.tenants().stream().filter(t -> t.quotaPerSecond() > 0)
         .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.instanceCount()));
-    shortestAim = settings.classes().stream().mapToLong(RequestClass::latencyObjectiveNanos).min().getAsLong();
-    long longest = settings.classes().stream().mapToLong(RequestClass::latencyObjectiveNanos).max().getAsLong();
+    shortestAim = settings.classes().stream().mapToLong(RequestClass::latencyObjectiveNanos).min(
+        ).getAsLong();
+    long longest = settings.classes().stream().mapToLong(RequestClass::latencyObjectiveNanos).max(
+        ).getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     sweep = shortestAim / SWEEPS;
     fleet = new SlidingWindow(window, 0);
@@ -196,28 +176,28 @@
   public void handle(long nowNanos, Event event, Consumer<Action> actions) {
     now = nowNanos;
     out = actions;
-    if (event instanceof RequestArrived e) {
+    if (event instanceof Event.RequestArrived e) {
       onRequest(e);
-    } else if (event instanceof AttemptEnded e) {
+    } else if (event instanceof Event.AttemptEnded e) {
       onOutcome(e);
-    } else if (event instanceof TimerFired e) {
+    } else if (event instanceof Event.TimerFired e) {
       if (e.token().equals(ASK)) {
         ask();
       } else {
         onSweep();
       }
-    } else if (event instanceof EndpointListUpdate e) {
+    } else if (event instanceof Event.EndpointListUpdate e) {
       onList(e);
-    } else if (event instanceof ClientDisconnected e) {
+    } else if (event instanceof Event.ClientDisconnected e) {
       if (open.containsKey(e.requestId()) && !open.get(e.requestId()).ended) {
         release(open.get(e.requestId()));
       }
-    } else if (event instanceof ResponseStarted e && open.get(e.requestId()) != null) {
+    } else if (event instanceof Event.ResponseStarted e && open.get(e.requestId()) != null) {
       open.get(e.requestId()).streaming = true;
     }
     if (!sweeping && !open.isEmpty()) {
       sweeping = true;
-      out.accept(new SetTimer("sweep", now + sweep));
+      out.accept(new Action.SetTimer("sweep", now + sweep));
     }
   }
 
@@ -229,7 +209,7 @@
     return maxRate + part * (minRate - maxRate);
   }
 
-  private void onRequest(RequestArrived request) {
+  private void onRequest(Event.RequestArrived request) {
     RequestClass type = classes.get(request.className());
     if (type == null) {
       throw new IllegalArgumentException("request of unknown class " + request.className());
@@ -237,9 +217,10 @@
     boolean excess = overQuota(request.tenant());
     String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
     SlidingWindow key = windowOf(endpoint + ' ' + request.affinityKey());
-    InFlightRequest r = new InFlightRequest(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
+    InFlightRequest r = new InFlightRequest(request, type, now, excess, windowOf(endpoint), key, load(
+        request.workHintNanos()));
     if (open.size() >= settings.limits().maxInFlightRequests() || !admit(r)) {
-      out.accept(new RejectRequest(request.requestId(), retryAfter(r)));
+      out.accept(new Action.RejectRequest(request.requestId(), retryAfter(r)));
       return;
     }
     open.put(request.requestId(), r);
@@ -360,7 +341,8 @@
 
   /** The first upstream from the key's place on the ring that may take it, own zone first; or null. */
   private TrackedEndpoint place(InFlightRequest r) {
-    long point = r.request.affinityKey() == null ? random.nextLong() : HashRing.mix(HashRing.mix(r.request.affinityKey().hashCode()));
+    long point = r.request.affinityKey() == null ? random.nextLong() : HashRing.mix(HashRing.mix(
+        r.request.affinityKey().hashCode()));
     int start = ready == 0 ? 0 : ring.start(point);
     // Guards against keys that leave their warm upstreams in a crowd: each move is work, and so more crowd.
     double share = r.key.total(now, Metric.OFFERED) / Math.max(1, fleet.total(now, Metric.OFFERED));
@@ -410,7 +392,8 @@
   /** Guards what can't be sent again from an upstream that fails quickly. A balancer of many meets it too
    * seldom to wait for three failures in a row; what may be repeated finds out at less cost. */
   private boolean trusted(InFlightRequest r, TrackedEndpoint u) {
-    return r.type.idempotence() != Idempotence.NON_IDEMPOTENT || !distrust || u.failed(now, FAILED_KEPT) < FAILED_MOST;
+    return r.type.idempotence() != Idempotence.NON_IDEMPOTENT || !distrust || u.failed(now,
+        FAILED_KEPT) < FAILED_MOST;
   }
 
   /** The load up to which an upstream may take a request. A cold one holds its warmth's part: as much
@@ -495,7 +478,8 @@
       retryTokens -= first ? 0 : 1;
       held.remove(r);
       send(r, u);
-    } else if (over || first && now >= r.arrived + HOLD_PART * r.type.latencyObjectiveNanos() || !first && ready == 0) {
+    } else if (over || first && now >= r.arrived + HOLD_PART * r.type.latencyObjectiveNanos() || !first
+        && ready == 0) {
       finish(r);
     } else {
       held.add(r);
@@ -519,7 +503,7 @@
     readyLoad += r.load;
     fleet.add(now, Metric.ADMITTED, 1);
     usualSends.add(now, 1.0 / Math.max(1, ready));
-    out.accept(new StartAttempt(r.request.requestId(), u.id, r.request.deadlineNanos() - now));
+    out.accept(new Action.StartAttempt(r.request.requestId(), u.id, r.request.deadlineNanos() - now));
   }
 
   /** A second copy past a silent upstream, where class and settings allow it and the fleet is healthy. */
@@ -538,7 +522,8 @@
   }
 
   private void finish(InFlightRequest r) {
-    out.accept(mayRefuse(r) ? new RejectRequest(r.request.requestId(), retryAfter(r)) : new FailRequest(r.request.requestId()));
+    out.accept(mayRefuse(r) ? new Action.RejectRequest(r.request.requestId(), retryAfter(r))
+        : new Action.FailRequest(r.request.requestId()));
     release(r);
   }
 
@@ -551,12 +536,12 @@
     }
     for (int i = 0; i < r.attempts.size() && settings.limits().cancellation(); i++) {
       if (r.attempts.get(i).out) {
-        out.accept(new CancelAttempt(r.request.requestId(), i));
+        out.accept(new Action.CancelAttempt(r.request.requestId(), i));
       }
     }
   }
 
-  private void onOutcome(AttemptEnded o) {
+  private void onOutcome(Event.AttemptEnded o) {
     InFlightRequest r = open.get(o.requestId());
     if (r == null || o.attempt() >= r.attempts.size() || !r.attempts.get(o.attempt()).out) {
       return;
@@ -578,12 +563,13 @@
       advance(r);
     }
     int tries = HELD_TRIES;
-    for (InFlightRequest h = held.isEmpty() ? null : held.first(); h != null && tries > 0; h = held.higher(h)) {
+    for (InFlightRequest h = held.isEmpty() ? null : held.first(); h != null && tries > 0; h
+        = held.higher(h)) {
       tries -= advance(h) ? 0 : 1;
     }
   }
 
-  private void learn(InFlightRequest r, Attempt a, AttemptEnded o) {
+  private void learn(InFlightRequest r, Attempt a, Event.AttemptEnded o) {
     TrackedEndpoint u = a.upstream;
     if (o.status() == AttemptStatus.SUCCESS) {
       u.failures = 0;
@@ -602,7 +588,8 @@
       double limit = (double) r.type.deadlineNanos() / r.type.latencyObjectiveNanos();
       // A client that waits for less than the aim ends its attempts itself: no upstream is to blame for that.
       // Guards the others: a few seconds of such clients had healthy upstreams ejected and the rest refused.
-      boolean hurried = o.status() == AttemptStatus.TIMEOUT && now - a.sentAt < r.type.latencyObjectiveNanos();
+      boolean hurried = o.status() == AttemptStatus.TIMEOUT
+          && now - a.sentAt < r.type.latencyObjectiveNanos();
       // A time-out adds its limit, another failure its latency and no less than the mean: quick ones must not
       // pull it down. Guards work that others could do: charged the limit, a few resets had it all refused.
       sample(r, o.status() == AttemptStatus.TIMEOUT && !hurried ? limit
@@ -665,21 +652,21 @@
   private void ask() {
     if (now >= askAt) {
       askAt = Long.MAX_VALUE;
-      out.accept(new WatchEndpoints(true));
+      out.accept(new Action.WatchEndpoints(true));
     }
   }
 
-  private void onList(EndpointListUpdate news) {
+  private void onList(Event.EndpointListUpdate news) {
     if (news.kind() == UpdateKind.FAILED) {
       // Full jitter, or all balancers would come back to the list service at once.
       askAt = now + (long) (askBackoff(askFailures++) * random.nextDouble());
-      out.accept(new SetTimer(ASK, askAt));
+      out.accept(new Action.SetTimer(ASK, askAt));
       return;
     }
     if (news.kind() != UpdateKind.CACHED) {
       askFailures = 0;
     } else if (settings.polledDiscovery()) {
-      out.accept(new WatchEndpoints(true));
+      out.accept(new Action.WatchEndpoints(true));
     }
     Map<Long, Endpoint> entries = new LinkedHashMap<>();
     news.endpoints().forEach(e -> entries.put(e.id(), e));
--- a/src/test/java/loadbalancer/decision/ServiceContractTest.java
+++ b/src/test/java/loadbalancer/decision/ServiceContractTest.java
@@ -55,7 +55,7 @@
     "IDEMPOTENCY_KEY, ZONE, ERROR, 2 3, FailRequest", "IDEMPOTENCY_KEY, ZONE, RESET, 2 3, FailRequest", "IDEMPOTENCY_KEY, ZONE, TIMEOUT, 2 3, FailRequest",
     "IDEMPOTENCY_KEY, ZONE, CANCELLED, 2 3, FailRequest",
     "IDEMPOTENCY_KEY, CELL, REJECTED, 2 3 4, RejectRequest", "IDEMPOTENCY_KEY, CELL, NOT_SENT, 2 3 4, RejectRequest", "IDEMPOTENCY_KEY, CELL, ERROR, 2, FailRequest",
-    "KEYED, CELL, RESET, 2, Fail", "KEYED, CELL, TIMEOUT, 2, Fail", "KEYED, CELL, CANCELLED, 2, Fail"})
+    "IDEMPOTENCY_KEY, CELL, RESET, 2, FailRequest", "IDEMPOTENCY_KEY, CELL, TIMEOUT, 2, FailRequest", "IDEMPOTENCY_KEY, CELL, CANCELLED, 2, FailRequest"})
   void nextAttemptOrFinalAnswer(Idempotence effect, DedupScope scope, AttemptStatus status, String allowed, String end) {
     for (long other = 2; other <= 4; other++) {
       EngineDriver d = fleet(effect, scope, other);
