--- /dev/null
+++ b/src/test/java/cloverpulley/drill/ScenarioSettings.java
@@ -0,0 +1,103 @@
+package cloverpulley.drill;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** Writes the settings of a scenario as the wire's boot-info. */
+final class ScenarioSettings {
+
+  private final List<String> classes = new ArrayList<>();
+  private final List<String> tenants = new ArrayList<>();
+  private String listMode = "pushed";
+  private String weightKind = "none";
+  private String contract = contract(0.2, 8000, 2);
+  private int groupSize = 1;
+  private boolean warmKeys;
+  private boolean cancel = true;
+  private boolean secondCopies = true;
+  private boolean retryAfter = true;
+
+  /** A class with its effect ("deduplicated zone 400" names the scope and window as well). */
+  ScenarioSettings type(String name, String effect, int aimMillis, int deadlineMillis, int gain) {
+    return type(name, effect, aimMillis, deadlineMillis, gain, false);
+  }
+
+  /** A class whose answers are streams. */
+  ScenarioSettings stream(String name, int aimMillis, int deadlineMillis, int gain) {
+    return type(name, "idempotent", aimMillis, deadlineMillis, gain, true);
+  }
+
+  private ScenarioSettings type(
+      String name, String effect, int aimMillis, int deadlineMillis, int gain, boolean stream) {
+    String[] words = effect.split(" ");
+    classes.add("{\"name\":\"" + name + "\",\"effect\":\"" + words[0] + "\""
+        + (words.length == 1 ? "" : ",\"dedup-scope\":\"" + words[1] + "\",\"window-ns\":"
+            + words[2] + "000000")
+        + ",\"aim-ns\":" + aimMillis + "000000,\"deadline-ns\":" + deadlineMillis
+        + "000000,\"gain\":" + gain + ",\"stream\":" + stream + "}");
+    return this;
+  }
+
+  /** A tenant; the quota is 0 where none is stated. */
+  ScenarioSettings tenant(String name, double portion, int quotaPerSecond) {
+    tenants.add("{\"name\":\"" + name + "\",\"portion\":" + portion
+        + (quotaPerSecond > 0 ? ",\"quota-per-s\":" + quotaPerSecond : "") + "}");
+    return this;
+  }
+
+  ScenarioSettings polledList() {
+    listMode = "on_request";
+    return this;
+  }
+
+  ScenarioSettings weights(String kind) {
+    weightKind = kind;
+    return this;
+  }
+
+  ScenarioSettings groupOf(int instances) {
+    groupSize = instances;
+    return this;
+  }
+
+  ScenarioSettings warmKeys() {
+    warmKeys = true;
+    return this;
+  }
+
+  ScenarioSettings slowStart(double coldFrom, int warmWithinMillis, int fallMultiple) {
+    contract = contract(coldFrom, warmWithinMillis, fallMultiple);
+    return this;
+  }
+
+  ScenarioSettings withoutHedges() {
+    cancel = false;
+    secondCopies = false;
+    return this;
+  }
+
+  ScenarioSettings withoutRetryAfter() {
+    retryAfter = false;
+    return this;
+  }
+
+  private static String contract(double coldFrom, int warmWithinMillis, int fallMultiple) {
+    return String.format(Locale.ROOT,
+        "{\"answer-slack-ns\":50000000,\"ask-within-ns\":10000000000,\"drain-grace-ns\":500000000,"
+            + "\"cold-from\":%s,\"warm-within-ns\":%d000000,\"fall-multiple\":%d,"
+            + "\"overload-for-ns\":2000000000}",
+        coldFrom, warmWithinMillis, fallMultiple);
+  }
+
+  String json() {
+    return "{\"categories\":[" + String.join(",", classes) + "],\"contract\":" + contract
+        + ",\"domain\":{\"warm-keys\":" + warmKeys + "},\"group-size\":" + groupSize
+        + ",\"limits\":{\"cancel\":" + cancel + ",\"max-attempts\":4,\"most-held\":300,"
+        + "\"retry-after\":" + retryAfter + ",\"max-retry-after-ns\":2500000000,"
+        + "\"second-copies\":" + secondCopies + "},\"me\":0,\"over-share-worth\":0.05"
+        + (tenants.isEmpty() ? "" : ",\"projects\":[" + String.join(",", tenants) + "]")
+        + ",\"registry-mode\":\"" + listMode + "\",\"resolution-ns\":30000000,\"weight-kind\":\""
+        + weightKind + "\",\"zone\":\"a\"}";
+  }
+}
