Report malformed input by field path and decode settings by record family

A malformed field was a text put together at each place that read one, and a configuration could fail with any of three kinds of exception.

MalformedInputException carries path, expectation and value; JsonFields only accesses fields, JsonTextReader parses. A configuration that cannot be used is a ConfigurationException, whose one line now always begins "configuration: ".

--- /dev/null
+++ b/src/main/java/loadbalancer/config/ConfigurationException.java
@@ -0,0 +1,15 @@
+package loadbalancer.config;
+
+/** A configuration that cannot be used; the message says in one line what is wrong with it. */
+public final class ConfigurationException extends RuntimeException {
+
+  private static final long serialVersionUID = 1L;
+
+  ConfigurationException(String problem) {
+    super("configuration: " + problem);
+  }
+
+  ConfigurationException(RuntimeException cause) {
+    super("configuration: " + cause.getMessage(), cause);
+  }
+}
--- a/src/main/java/loadbalancer/config/SettingsDecoder.java
+++ b/src/main/java/loadbalancer/config/SettingsDecoder.java
@@ -1,6 +1,5 @@
 package loadbalancer.config;
 
-import loadbalancer.json.JsonFields;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,51 +12,160 @@
 import loadbalancer.decision.api.Settings;
 import loadbalancer.decision.api.Tenant;
 import loadbalancer.decision.api.WeightKind;
+import loadbalancer.json.JsonFields;
 
-/** Translates the settings, which the simulator and a real balancer are handed alike, into the module's. */
+/**
+ * Decodes the settings of the decision engine, which the simulator and the platform state in the
+ * same form. Unknown fields are skipped. Of absent ones, those whose default is not 0, 1, false or
+ * empty have it as a named constant.
+ */
 public final class SettingsDecoder {
 
-  private static final Map<String, Idempotence> EFFECT =
-      Map.of("idempotent", Idempotence.IDEMPOTENT, "deduplicated", Idempotence.IDEMPOTENCY_KEY, "at_most_once", Idempotence.NON_IDEMPOTENT);
-  private static final Map<String, DedupScope> SCOPE =
+  private static final Map<String, Idempotence> IDEMPOTENCE =
+      Map.of(
+          "idempotent", Idempotence.IDEMPOTENT,
+          "deduplicated", Idempotence.IDEMPOTENCY_KEY,
+          "at_most_once", Idempotence.NON_IDEMPOTENT);
+  private static final Map<String, DedupScope> DEDUP_SCOPE =
       Map.of("all", DedupScope.ALL, "zone", DedupScope.ZONE, "cell", DedupScope.CELL);
-  private static final Map<String, WeightKind> WEIGHTS = Map.of("none", WeightKind.NONE, "nominal",
-      WeightKind.NOMINAL, "rough", WeightKind.ROUGH, "live", WeightKind.LIVE);
-  private static final Map<String, Boolean> LIST_MODE = Map.of("pushed", false, "on_request", true);
+  private static final Map<String, WeightKind> WEIGHT_KIND =
+      Map.of(
+          "none", WeightKind.NONE,
+          "nominal", WeightKind.NOMINAL,
+          "rough", WeightKind.ROUGH,
+          "live", WeightKind.LIVE);
+  private static final Map<String, Boolean> POLLED_DISCOVERY =
+      Map.of("pushed", false, "on_request", true);
+
+  /** Harmless for every request: one that is not known to be repeatable never runs twice. */
+  private static final Idempotence DEFAULT_IDEMPOTENCE = Idempotence.NON_IDEMPOTENT;
+
+  /** The narrowest scope: a repeat goes only where it is surely recognised. */
+  private static final DedupScope DEFAULT_DEDUP_SCOPE = DedupScope.CELL;
+
+  /** One attempt and no retry. */
+  private static final int DEFAULT_MAX_ATTEMPTS = 1;
+
+  /** No limit of its own; admission limits what is in flight. */
+  private static final int DEFAULT_MAX_IN_FLIGHT_REQUESTS = Integer.MAX_VALUE;
+
+  /** One request on a connection at a time, as in HTTP/1.1. */
+  private static final int DEFAULT_STREAMS_PER_CONNECTION = 1;
+
+  /** Time in ns: many round trips within a site. */
+  private static final long DEFAULT_CONNECT_TIMEOUT_NANOS = 250_000_000L;
+
+  /** Time in ns, where the list is polled; one that is pushed is not polled. */
+  private static final long DEFAULT_POLL_WITHIN_NANOS = 10_000_000_000L;
+
+  /** The part of its capacity that an endpoint has at its start. */
+  private static final double DEFAULT_INITIAL_CAPACITY = 0.1;
+
+  /** Time in ns after which an endpoint has its whole capacity. */
+  private static final long DEFAULT_SLOW_START_NANOS = 30_000_000_000L;
+
+  /** Times the usual load from which a warming endpoint may fail. */
+  private static final double DEFAULT_OVERLOAD_MULTIPLE = 1;
+
+  /** Time in ns over which that load is measured. */
+  private static final long DEFAULT_OVERLOAD_WINDOW_NANOS = 1_000_000_000L;
+
+  /** Points that a response in time earns. */
+  private static final double DEFAULT_PRIORITY_WEIGHT = 1;
+
+  /** Requests over their tenant's quota lose nothing of their weight. */
+  private static final double DEFAULT_OVER_QUOTA_WEIGHT = 1;
+
+  /** Time in ns that may pass before an action is carried out. */
+  private static final long DEFAULT_TICK_NANOS = 1_000_000L;
 
   private SettingsDecoder() {}
 
-  /** The settings; unknown keys are skipped, absent ones get the defaults written here. */
-  public static Settings settings(JsonFields f) {
+  /**
+   * Decodes settings.
+   *
+   * @throws loadbalancer.json.MalformedInputException if a field is not of its type
+   * @throws IllegalArgumentException if a value cannot make sense
+   */
+  public static Settings decode(JsonFields settings) {
+    boolean polledDiscovery = settings.constant("registry-mode", POLLED_DISCOVERY, false);
+    return new Settings(
+        (int) settings.integer("me", 0),
+        (int) settings.integer("group-size", 1),
+        settings.text("zone", ""),
+        classes(settings),
+        tenants(settings),
+        limits(settings.objectOrEmpty("limits")),
+        contract(settings.objectOrEmpty("contract"), polledDiscovery),
+        prices(settings.objectOrEmpty("prices")),
+        polledDiscovery,
+        settings.constant("weight-kind", WEIGHT_KIND, WeightKind.NONE),
+        settings.number("over-share-worth", DEFAULT_OVER_QUOTA_WEIGHT),
+        settings.objectOrEmpty("domain").bool("warm-keys", false),
+        settings.integer("resolution-ns", DEFAULT_TICK_NANOS));
+  }
+
+  private static List<RequestClass> classes(JsonFields settings) {
     List<RequestClass> classes = new ArrayList<>();
-    for (JsonFields c : f.objects("categories")) {
-      long aim = c.integer("aim-ns");
-      classes.add(new RequestClass(c.text("name"), c.word("effect", EFFECT, Idempotence.NON_IDEMPOTENT),
-          c.word("dedup-scope", SCOPE, DedupScope.CELL), c.integer("window-ns", 0), aim, c.number("aim-stretch", 0),
-          c.integer("deadline-ns", aim), c.number("gain", 1), c.number("late-worth", 0), c.bool("stream", false)));
+    for (JsonFields fields : settings.objects("categories")) {
+      classes.add(requestClass(fields));
     }
+    return classes;
+  }
+
+  /** Where no deadline is stated, a response is of no use once it misses its objective. */
+  private static RequestClass requestClass(JsonFields fields) {
+    long latencyObjectiveNanos = fields.integer("aim-ns");
+    return new RequestClass(
+        fields.text("name"),
+        fields.constant("effect", IDEMPOTENCE, DEFAULT_IDEMPOTENCE),
+        fields.constant("dedup-scope", DEDUP_SCOPE, DEFAULT_DEDUP_SCOPE),
+        fields.integer("window-ns", 0),
+        latencyObjectiveNanos,
+        fields.number("aim-stretch", 0),
+        fields.integer("deadline-ns", latencyObjectiveNanos),
+        fields.number("gain", DEFAULT_PRIORITY_WEIGHT),
+        fields.number("late-worth", 0),
+        fields.bool("stream", false));
+  }
+
+  private static List<Tenant> tenants(JsonFields settings) {
     List<Tenant> tenants = new ArrayList<>();
-    if (f.has("projects")) {
-      for (JsonFields t : f.objects("projects")) {
-        tenants.add(new Tenant(t.text("name"), t.number("portion", 0), t.number("quota-per-s", 0)));
-      }
+    for (JsonFields fields : settings.objectsOrEmpty("projects")) {
+      tenants.add(
+          new Tenant(
+              fields.text("name"), fields.number("portion", 0), fields.number("quota-per-s", 0)));
     }
-    JsonFields l = f.nested("limits");
-    Limits limits = new Limits(l.bool("cancel", false), l.bool("probing", false), l.bool("peers", false),
-        l.bool("second-copies", false), l.bool("retry-after", false), l.integer("max-retry-after-ns", 0),
-        (int) l.integer("max-attempts", 1), (int) l.integer("most-held", Integer.MAX_VALUE),
-        (int) l.integer("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L));
-    boolean onRequest = f.word("registry-mode", LIST_MODE, false);
-    JsonFields c = f.nested("contract");
-    ServiceContract contract = new ServiceContract(c.integer("answer-slack-ns", 0),
-        c.integer("ask-within-ns", onRequest ? 10_000_000_000L : 0), c.integer("drain-grace-ns", 0),
-        c.number("cold-from", 0.1), c.integer("warm-within-ns", 30_000_000_000L), c.number("fall-multiple", 1),
-        c.integer("overload-for-ns", 1_000_000_000L));
-    JsonFields p = f.nested("prices");
-    Prices prices = new Prices(p.number("cross-zone", 0), p.number("waste", 0), p.number("late-fail", 0));
-    return new Settings((int) f.integer("me", 0), (int) f.integer("group-size", 1), f.text("zone", ""), classes,
-        tenants, limits, contract, prices, onRequest, f.word("weight-kind", WEIGHTS, WeightKind.NONE),
-        f.number("over-share-worth", 1), f.nested("domain").bool("warm-keys", false),
-        f.integer("resolution-ns", 1_000_000L));
+    return tenants;
+  }
+
+  private static Limits limits(JsonFields fields) {
+    return new Limits(
+        fields.bool("cancel", false),
+        fields.bool("probing", false),
+        fields.bool("peers", false),
+        fields.bool("second-copies", false),
+        fields.bool("retry-after", false),
+        fields.integer("max-retry-after-ns", 0),
+        (int) fields.integer("max-attempts", DEFAULT_MAX_ATTEMPTS),
+        (int) fields.integer("most-held", DEFAULT_MAX_IN_FLIGHT_REQUESTS),
+        (int) fields.integer("multiplex", DEFAULT_STREAMS_PER_CONNECTION),
+        fields.integer("connect-timeout-ns", DEFAULT_CONNECT_TIMEOUT_NANOS));
+  }
+
+  private static ServiceContract contract(JsonFields fields, boolean polledDiscovery) {
+    return new ServiceContract(
+        fields.integer("answer-slack-ns", 0),
+        fields.integer("ask-within-ns", polledDiscovery ? DEFAULT_POLL_WITHIN_NANOS : 0),
+        fields.integer("drain-grace-ns", 0),
+        fields.number("cold-from", DEFAULT_INITIAL_CAPACITY),
+        fields.integer("warm-within-ns", DEFAULT_SLOW_START_NANOS),
+        fields.number("fall-multiple", DEFAULT_OVERLOAD_MULTIPLE),
+        fields.integer("overload-for-ns", DEFAULT_OVERLOAD_WINDOW_NANOS));
+  }
+
+  private static Prices prices(JsonFields fields) {
+    return new Prices(
+        fields.number("cross-zone", 0), fields.number("waste", 0), fields.number("late-fail", 0));
   }
 }
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.json.JsonObjectDecoder;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -237,8 +236,8 @@
       begunAt = 0;
       EndpointList list;
       try {
-        list = EndpointList.parse(JsonFields.parse(json, "list", text));
-      } catch (IOException | MalformedInputException e) {
+        list = EndpointListParser.parse(JsonFields.parse(json, "list", text));
+      } catch (MalformedInputException e) {
         fail(e.getMessage());
         return;
       }
--- a/src/main/java/loadbalancer/discovery/EndpointDirectory.java
+++ b/src/main/java/loadbalancer/discovery/EndpointDirectory.java
@@ -117,6 +117,6 @@
   }
 
   private Endpoint listed(long number, Member s) {
-    return new Endpoint(number, s.zone(), s.cell(), s.state(), clock.nanosAtUnixMillis(s.upSinceMillis()), s.size());
+    return new Endpoint(number, s.zone(), s.cell(), s.state(), clock.nanosAtUnixMillis(s.upSinceMillis()), s.weight());
   }
 }
--- a/src/main/java/loadbalancer/discovery/EndpointList.java
+++ b/src/main/java/loadbalancer/discovery/EndpointList.java
@@ -1,31 +1,44 @@
 package loadbalancer.discovery;
 
-import loadbalancer.net.SocketAddresses;
 import java.net.SocketAddress;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import loadbalancer.json.JsonFields;
 import loadbalancer.decision.api.EndpointState;
 
-/** A list of upstreams, or changes to one, in discovery's form. */
+/**
+ * A message of discovery: the endpoint list or changes to it.
+ *
+ * @param revision the version that the list has with this message; 0 if none is stated
+ * @param complete whether {@code members} are all endpoints; otherwise they are those that changed
+ * @param members the endpoints
+ */
 public record EndpointList(long revision, boolean complete, List<Member> members) {
 
+  /** The list of nobody. */
   public static final EndpointList NONE = new EndpointList(0, true, List.of());
 
-  private static final Map<String, EndpointState> PHASE =
-      Map.of("ready", EndpointState.READY, "draining", EndpointState.DRAINING, "gone", EndpointState.GONE);
+  /**
+   * One endpoint.
+   *
+   * @param id its name, the same for all its incarnations
+   * @param address where it listens
+   * @param zone the zone it runs in
+   * @param cell the part of the zone within which it may share deduplication with others
+   * @param state whether it takes new work
+   * @param weight compares endpoints with one another
+   * @param upSinceMillis Unix time at which this incarnation started, in ms; 0 for long ago
+   */
+  public record Member(
+      String id,
+      SocketAddress address,
+      String zone,
+      int cell,
+      EndpointState state,
+      double weight,
+      long upSinceMillis) {
 
-  /** One upstream; {@code upSinceMillis} is 0 for long ago. */
-  public record Member(String id, SocketAddress address, String zone, int cell, EndpointState state, double size,
-      long upSinceMillis) {}
-
-  public static EndpointList parse(JsonFields f) {
-    List<Member> members = new ArrayList<>();
-    for (JsonFields m : f.objects("members")) {
-      members.add(new Member(m.text("id"), SocketAddresses.parse("host_port", m.text("host_port")), m.text("locality", ""),
-          (int) m.integer("cell", 0), m.word("phase", PHASE), m.number("size", 1), m.integer("up_since_ms", 0)));
+    /** Whether another one with the same name is another process, or the same one moved. */
+    boolean isOtherIncarnation(Member other) {
+      return upSinceMillis != other.upSinceMillis || !address.equals(other.address);
     }
-    return new EndpointList(f.integer("revision", 0), f.bool("complete", false), members);
   }
 }
--- a/src/main/java/loadbalancer/json/JsonFields.java
+++ b/src/main/java/loadbalancer/json/JsonFields.java
@@ -1,209 +1,210 @@
 package loadbalancer.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 
-/** A JSON object with checked access to its fields. */
+/**
+ * A JSON object with checked access to its fields. A field that holds null counts as absent. Every
+ * accessor throws a {@link MalformedInputException} that carries the field's path if the value is
+ * not of its type; those with a default throw for a wrong value, too, but not for an absent one.
+ */
 public final class JsonFields {
 
   private final String path;
   private final Map<?, ?> values;
 
-  public JsonFields(String path, Map<?, ?> values) {
+  private JsonFields(String path, Map<?, ?> values) {
     this.path = path;
     this.values = values;
   }
 
-  /** The one object that a text holds; {@code name} is what messages call it. */
-  public static JsonFields parse(JsonFactory json, String name, String text) throws IOException {
-    try (JsonParser parser = json.createParser(text)) {
-      if (parser.nextToken() == null) {
-        throw new MalformedInputException("expected a " + name + ", got an empty line");
-      }
-      Object value = read(parser);
-      if (parser.nextToken() != null) {
-        throw new MalformedInputException("expected one value a line, got more");
-      }
-      return object(name, value);
-    }
+  /**
+   * Parses a text that consists of one object.
+   *
+   * @param name what error messages call the object; it is the root of the paths
+   * @throws MalformedInputException if the text is not one JSON object
+   */
+  public static JsonFields parse(JsonFactory factory, String name, String text) {
+    return cast(name, JsonTextReader.read(factory, name, text));
   }
 
-  /** Reads the value that the parser's current token starts. */
-  private static Object read(JsonParser in) throws IOException {
-    JsonToken token = in.currentToken();
-    switch (token) {
-      case START_OBJECT -> {
-        Map<String, Object> object = new LinkedHashMap<>();
-        while (in.nextToken() != JsonToken.END_OBJECT) {
-          String name = in.currentName();
-          in.nextToken();
-          object.put(name, read(in));
-        }
-        return object;
-      }
-      case START_ARRAY -> {
-        List<Object> array = new ArrayList<>();
-        while (in.nextToken() != JsonToken.END_ARRAY) {
-          array.add(read(in));
-        }
-        return array;
-      }
-      case VALUE_STRING -> {
-        return in.getText();
-      }
-      case VALUE_NUMBER_INT -> {
-        if (in.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
-          throw new MalformedInputException("number " + in.getText() + " does not fit 64 bits");
-        }
-        return in.getLongValue();
-      }
-      case VALUE_NUMBER_FLOAT -> {
-        return in.getDoubleValue();
-      }
-      case VALUE_TRUE, VALUE_FALSE -> {
-        return in.getBooleanValue();
-      }
-      default -> {
-        return null;
-      }
+  private static JsonFields cast(String path, Object value) {
+    if (value instanceof Map<?, ?> object) {
+      return new JsonFields(path, object);
     }
+    throw MalformedInputException.mismatch(path, "an object", value);
   }
 
-  /** Casts a value to an object, or says what was expected. */
-  public static JsonFields object(String path, Object value) {
-    if (value instanceof Map<?, ?> map) {
-      return new JsonFields(path, map);
-    }
-    throw bad(path, "an object", value);
-  }
-
-  private static MalformedInputException bad(String path, String expected, Object value) {
-    return new MalformedInputException("field " + path + ": expected " + expected + ", got "
-        + (value == null ? "nothing" : value instanceof String ? "\"" + value + "\"" : value.toString()));
-  }
-
-  private MalformedInputException bad(String name, String expected) {
-    return bad(path + "." + name, expected, values.get(name));
+  /** This object's path from the root of the text. */
+  public String path() {
+    return path;
   }
 
-  public Map<?, ?> values() {
-    return values;
+  /** The path of one of its fields. */
+  public String pathOf(String name) {
+    return path + "." + name;
   }
 
-  public String path() {
-    return path;
+  private MalformedInputException mismatch(String name, String expected) {
+    return MalformedInputException.mismatch(pathOf(name), expected, values.get(name));
   }
 
+  /** Whether a field is there and not null. */
   public boolean has(String name) {
     return values.get(name) != null;
   }
 
-  /** A whole number that has to be there. */
+  /**
+   * The name of the object's only field.
+   *
+   * @param meaning what the field stands for, for the error message
+   */
+  public String onlyFieldName(String meaning) {
+    if (values.size() != 1) {
+      throw MalformedInputException.invalid(
+          path, "expected one " + meaning + ", got " + values.size());
+    }
+    return (String) values.keySet().iterator().next();
+  }
+
+  /** A whole number. */
   public long integer(String name) {
     if (values.get(name) instanceof Long number) {
       return number;
     }
-    throw bad(name, "a whole number");
+    throw mismatch(name, "a whole number");
+  }
+
+  /** A whole number, or a default. */
+  public long integer(String name, long defaultValue) {
+    return has(name) ? integer(name) : defaultValue;
   }
 
-  public long integer(String name, long absent) {
-    return has(name) ? integer(name) : absent;
+  /** Whether a field is the whole number 0. */
+  public boolean isZero(String name) {
+    return values.get(name) instanceof Long number && number == 0;
   }
 
-  public double number(String name, double absent) {
+  /** A number, whole or not, or a default. */
+  public double number(String name, double defaultValue) {
     if (!has(name)) {
-      return absent;
+      return defaultValue;
     }
     if (values.get(name) instanceof Number number) {
       return number.doubleValue();
     }
-    throw bad(name, "a number");
+    throw mismatch(name, "a number");
   }
 
+  /** A truth value. */
   public boolean bool(String name) {
     if (values.get(name) instanceof Boolean flag) {
       return flag;
     }
-    throw bad(name, "true or false");
+    throw mismatch(name, "true or false");
   }
 
-  public boolean bool(String name, boolean absent) {
-    return has(name) ? bool(name) : absent;
+  /** A truth value, or a default. */
+  public boolean bool(String name, boolean defaultValue) {
+    return has(name) ? bool(name) : defaultValue;
   }
 
+  /** A string. */
   public String text(String name) {
     if (values.get(name) instanceof String text) {
       return text;
     }
-    throw bad(name, "a text");
+    throw mismatch(name, "a text");
+  }
+
+  /** A string, or a default. */
+  public String text(String name, String defaultValue) {
+    return has(name) ? text(name) : defaultValue;
+  }
+
+  /**
+   * The constant that a string names.
+   *
+   * @param constants the constants by the names that the input may use
+   */
+  public <T> T constant(String name, Map<String, T> constants) {
+    T constant = constants.get(text(name));
+    if (constant == null) {
+      throw mismatch(name, "one of " + new TreeSet<>(constants.keySet()));
+    }
+    return constant;
+  }
+
+  /** The constant that a string names, or a default. */
+  public <T> T constant(String name, Map<String, T> constants, T defaultValue) {
+    return has(name) ? constant(name, constants) : defaultValue;
   }
 
-  public String text(String name, String absent) {
-    return has(name) ? text(name) : absent;
+  /** An object. */
+  public JsonFields object(String name) {
+    return cast(pathOf(name), values.get(name));
   }
 
-  /** A nested object; an empty one where it is absent. */
-  public JsonFields nested(String name) {
-    return has(name) ? object(path + "." + name, values.get(name)) : new JsonFields(path + "." + name, Map.of());
+  /** An object, or an empty one where the field is absent. */
+  public JsonFields objectOrEmpty(String name) {
+    return has(name) ? object(name) : new JsonFields(pathOf(name), Map.of());
   }
 
-  /** An array of objects that has to be there. */
+  /** An array of objects. */
   public List<JsonFields> objects(String name) {
-    if (!(values.get(name) instanceof List<?> list)) {
-      throw bad(name, "an array");
+    List<?> array = array(name);
+    List<JsonFields> objects = new ArrayList<>(array.size());
+    for (int i = 0; i < array.size(); i++) {
+      objects.add(cast(pathOf(name) + "[" + i + "]", array.get(i)));
     }
-    List<JsonFields> out = new ArrayList<>(list.size());
-    for (int i = 0; i < list.size(); i++) {
-      out.add(object(path + "." + name + "[" + i + "]", list.get(i)));
-    }
-    return out;
+    return objects;
   }
 
-  /** An array of texts that has to be there. */
-  public List<String> texts(String name) {
-    if (!(values.get(name) instanceof List<?> list)) {
-      throw bad(name, "an array");
+  /** An array of objects, or an empty list where the field is absent. */
+  public List<JsonFields> objectsOrEmpty(String name) {
+    return has(name) ? objects(name) : List.of();
+  }
+
+  /** An array of strings, or an empty list where the field is absent. */
+  public List<String> textsOrEmpty(String name) {
+    if (!has(name)) {
+      return List.of();
     }
-    List<String> out = new ArrayList<>(list.size());
-    for (Object value : list) {
+    List<String> texts = new ArrayList<>();
+    for (Object value : array(name)) {
       if (!(value instanceof String text)) {
-        throw bad(path + "." + name, "texts", value);
+        throw MalformedInputException.mismatch(pathOf(name), "texts", value);
       }
-      out.add(text);
+      texts.add(text);
     }
-    return out;
+    return texts;
   }
 
-  /** One of the words; the table maps the wire's words to the module's. */
-  public <T> T word(String name, Map<String, T> words) {
-    T word = words.get(text(name));
-    if (word == null) {
-      throw bad(name, "one of " + new java.util.TreeSet<>(words.keySet()));
+  private List<?> array(String name) {
+    if (values.get(name) instanceof List<?> array) {
+      return array;
     }
-    return word;
-  }
-
-  public <T> T word(String name, Map<String, T> words, T absent) {
-    return has(name) ? word(name, words) : absent;
+    throw mismatch(name, "an array");
   }
 
-  /** A load report: its numbers by name, anything else skipped; empty where none came. */
-  public Map<String, Double> load(String name) {
+  /**
+   * The numbers of an object by their names, in its order; fields of other types are left out. An
+   * empty map where the object is absent.
+   */
+  public Map<String, Double> numbersOrEmpty(String name) {
     if (!has(name)) {
       return Map.of();
     }
-    Map<String, Double> out = new LinkedHashMap<>();
-    for (Map.Entry<?, ?> entry : nested(name).values.entrySet()) {
-      if (entry.getValue() instanceof Number number) {
-        out.put((String) entry.getKey(), number.doubleValue());
+    Map<String, Double> numbers = new LinkedHashMap<>();
+    for (Map.Entry<?, ?> field : object(name).values.entrySet()) {
+      if (field.getValue() instanceof Number number) {
+        numbers.put((String) field.getKey(), number.doubleValue());
       }
     }
-    return out;
+    return numbers;
   }
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/json/JsonTextReader.java
@@ -0,0 +1,83 @@
+package loadbalancer.json;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Reads the one value of a JSON text: objects as maps in the order of the text, arrays as lists,
+ * whole numbers as {@link Long}, others as {@link Double}.
+ */
+final class JsonTextReader {
+
+  private JsonTextReader() {}
+
+  /**
+   * Reads a text.
+   *
+   * @param name what error messages call the value
+   * @throws MalformedInputException if the text is not exactly one JSON value
+   */
+  static Object read(JsonFactory factory, String name, String text) {
+    try (JsonParser parser = factory.createParser(text)) {
+      if (parser.nextToken() == null) {
+        throw new MalformedInputException("expected a " + name + ", got an empty line");
+      }
+      Object value = readValue(parser);
+      if (parser.nextToken() != null) {
+        throw new MalformedInputException("expected one value a line, got more");
+      }
+      return value;
+    } catch (JsonProcessingException e) {
+      throw new MalformedInputException("not JSON: " + e.getOriginalMessage());
+    } catch (IOException e) {
+      // A text in memory is read without input or output.
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Reads the value that starts at the parser's current token. */
+  private static Object readValue(JsonParser parser) throws IOException {
+    return switch (parser.currentToken()) {
+      case START_OBJECT -> readObject(parser);
+      case START_ARRAY -> readArray(parser);
+      case VALUE_STRING -> parser.getText();
+      case VALUE_NUMBER_INT -> readWholeNumber(parser);
+      case VALUE_NUMBER_FLOAT -> parser.getDoubleValue();
+      case VALUE_TRUE, VALUE_FALSE -> parser.getBooleanValue();
+      default -> null;
+    };
+  }
+
+  private static Map<String, Object> readObject(JsonParser parser) throws IOException {
+    Map<String, Object> object = new LinkedHashMap<>();
+    while (parser.nextToken() != JsonToken.END_OBJECT) {
+      String name = parser.currentName();
+      parser.nextToken();
+      object.put(name, readValue(parser));
+    }
+    return object;
+  }
+
+  private static List<Object> readArray(JsonParser parser) throws IOException {
+    List<Object> array = new ArrayList<>();
+    while (parser.nextToken() != JsonToken.END_ARRAY) {
+      array.add(readValue(parser));
+    }
+    return array;
+  }
+
+  private static Long readWholeNumber(JsonParser parser) throws IOException {
+    if (parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+      throw new MalformedInputException("number " + parser.getText() + " does not fit 64 bits");
+    }
+    return parser.getLongValue();
+  }
+}
--- a/src/main/java/loadbalancer/simulator/ActionEncoder.java
+++ b/src/main/java/loadbalancer/simulator/ActionEncoder.java
@@ -9,6 +9,7 @@
 import loadbalancer.decision.api.Action.CloseIdleConnections;
 import loadbalancer.decision.api.Action.FailRequest;
 import loadbalancer.decision.api.Action.FetchEndpoints;
+import loadbalancer.decision.api.Action.LogMessage;
 import loadbalancer.decision.api.Action.RejectRequest;
 import loadbalancer.decision.api.Action.SendGossip;
 import loadbalancer.decision.api.Action.LogMessage;
--- a/src/main/java/loadbalancer/simulator/EventDecoder.java
+++ b/src/main/java/loadbalancer/simulator/EventDecoder.java
@@ -42,36 +42,36 @@
       case "First" -> new ResponseStarted(f.text("rid"), (int) f.integer("go"), f.integer("upstream"),
           f.integer("wait-time-ns"));
       case "Resolved" -> new AttemptEnded(f.text("rid"), (int) f.integer("go"), f.integer("upstream"),
-          f.word("rc", STATUS), f.integer("wait-time-ns"), f.bool("done-flag"), f.load("usage"));
+          f.constant("rc", STATUS), f.integer("wait-time-ns"), f.bool("done-flag"), f.numbersOrEmpty("usage"));
       case "Aborted" -> new ClientDisconnected(f.text("rid"));
       case "Fired" -> new TimerFired(f.text("handle"));
-      case "HealthResult" -> new HealthCheckResult(f.integer("upstream"), f.word("rc", STATUS), f.integer("wait-time-ns"),
-          f.load("usage"));
+      case "HealthResult" -> new HealthCheckResult(f.integer("upstream"), f.constant("rc", STATUS), f.integer("wait-time-ns"),
+          f.numbersOrEmpty("usage"));
       case "Datagram" -> new GossipReceived((int) f.integer("neighbour"), bytes(f));
-      default -> throw new MalformedInputException("field " + f.path() + ": unknown event");
+      default -> throw MalformedInputException.invalid(f.path(), "unknown event");
     };
   }
 
   /** Sites without tenants leave the field out or write 0. */
   private static String tenant(JsonFields f) {
-    return f.values().get("user-group") instanceof Long none && none == 0 ? null : f.text("user-group", null);
+    return f.isZero("user-group") ? null : f.text("user-group", null);
   }
 
   private static byte[] bytes(JsonFields f) {
     try {
       return Base64.getDecoder().decode(f.text("octets"));
     } catch (IllegalArgumentException e) {
-      throw new MalformedInputException("field " + f.path() + ".octets: expected base64");
+      throw MalformedInputException.invalid(f.pathOf("octets"), "expected base64");
     }
   }
 
   private static EndpointListUpdate topology(JsonFields f) {
-    UpdateKind kind = f.word("kind", LIST_KIND);
+    UpdateKind kind = f.constant("kind", LIST_KIND);
     List<Endpoint> entries = new ArrayList<>();
     if (kind != UpdateKind.FAILED || f.has("entries")) {
       for (JsonFields e : f.objects("entries")) {
         entries.add(new Endpoint(e.integer("upstream"), e.text("region-part", ""), (int) e.integer("pack", 0),
-            e.word("stage-state", STATE), e.integer("launched-ns", 0), e.number("capacity-hint", 1)));
+            e.constant("stage-state", STATE), e.integer("launched-ns", 0), e.number("capacity-hint", 1)));
       }
     }
     return new EndpointListUpdate(kind, entries);
--- a/src/main/java/loadbalancer/simulator/SimulatorAdapter.java
+++ b/src/main/java/loadbalancer/simulator/SimulatorAdapter.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -42,9 +41,9 @@
       reply.reset();
       try (JsonGenerator generator = json.createGenerator(reply)) {
         answer(JsonFields.parse(json, "batch", text), generator);
-      } catch (JsonProcessingException e) {
-        throw new MalformedInputException("line " + line + ": not JSON: " + e.getOriginalMessage());
-      } catch (MalformedInputException | IllegalArgumentException e) {
+      } catch (MalformedInputException e) {
+        throw e.at("line " + line);
+      } catch (IllegalArgumentException e) {
         throw new MalformedInputException("line " + line + ": " + e.getMessage());
       }
       reply.write('\n');
@@ -73,21 +72,15 @@
   }
 
   private void handle(long now, long id, JsonFields message, JsonGenerator generator) throws IOException {
-    if (message.values().size() != 1) {
-      throw new MalformedInputException("field " + message.path() + ": expected one event, got " + message.values().size());
-    }
-    String name = (String) message.values().keySet().iterator().next();
-    JsonFields f = JsonFields.object(message.path() + "." + name, message.values().get(name));
+    String name = message.onlyFieldName("event");
+    JsonFields f = message.object(name);
     if (name.equals("Provision")) {
-      if (!f.has("boot-info")) {
-        throw new MalformedInputException("field " + f.path() + ".boot-info: expected an object, got nothing");
-      }
-      instances.put(id, new LoadBalancingEngine(SettingsDecoder.settings(f.nested("boot-info")), f.integer("seed")));
+      instances.put(id, new LoadBalancingEngine(SettingsDecoder.decode(f.object("boot-info")), f.integer("seed")));
       return;
     }
     DecisionEngine instance = instances.get(id);
     if (instance == null) {
-      throw new MalformedInputException("field " + f.path() + ": balancer " + id + " was never provisioned");
+      throw MalformedInputException.invalid(f.path(), "balancer " + id + " was never provisioned");
     }
     if (name.equals("Kill")) {
       instances.remove(id);
