Name the simulator's protocol in one place and its adapter's parts in full

The protocol's words stood in decoder, encoder and adapter, some of them in two of these. SimulatorProtocol names each once, by what it means to the decision engine; they are compile-time constants, so that no class is added to a start. Methods are cut by message. What is read and written is byte for byte the same.

--- a/src/main/java/loadbalancer/simulator/ActionEncoder.java
+++ b/src/main/java/loadbalancer/simulator/ActionEncoder.java
@@ -12,73 +12,85 @@
 import loadbalancer.decision.api.Action.LogMessage;
 import loadbalancer.decision.api.Action.RejectRequest;
 import loadbalancer.decision.api.Action.SendGossip;
-import loadbalancer.decision.api.Action.LogMessage;
 import loadbalancer.decision.api.Action.SetTimer;
 import loadbalancer.decision.api.Action.StartAttempt;
 import loadbalancer.decision.api.Action.WatchEndpoints;
 
-/** Writes the module's actions in the wire's words. */
+/** Encodes the decision engine's actions, each as an object whose only field is the action. */
 final class ActionEncoder {
 
   private ActionEncoder() {}
 
-  /** Writes one action as an object with a single key. */
+  /** Writes an action; the order of its fields is part of the protocol. */
   static void write(JsonGenerator out, Action action) throws IOException {
-    if (action instanceof StartAttempt a) {
-      open(out, "Deliver");
-      out.writeStringField("rid", a.requestId());
-      out.writeNumberField("patience-ns", a.timeoutNanos());
-      out.writeNumberField("upstream", a.endpointId());
-    } else if (action instanceof CancelAttempt a) {
-      open(out, "AbortAttempt");
-      out.writeStringField("rid", a.requestId());
-      out.writeNumberField("go", a.attempt());
-    } else if (action instanceof RejectRequest a) {
-      open(out, "Decline");
-      out.writeStringField("rid", a.requestId());
-      out.writeNumberField("not-before-for-ns", a.retryAfterNanos());
-    } else if (action instanceof FailRequest a) {
-      open(out, "DropRequest");
-      out.writeStringField("rid", a.requestId());
-    } else if (action instanceof SetTimer a) {
-      open(out, "SetTimer");
-      out.writeStringField("handle", a.token());
-      out.writeNumberField("fire-at-ns", a.atNanos());
-    } else if (action instanceof WatchEndpoints a) {
-      open(out, "Observe");
-      out.writeBooleanField("enable", a.enabled());
+    if (action instanceof StartAttempt start) {
+      open(out, SimulatorProtocol.START_ATTEMPT);
+      out.writeStringField(SimulatorProtocol.REQUEST_ID, start.requestId());
+      out.writeNumberField(SimulatorProtocol.TIMEOUT, start.timeoutNanos());
+      out.writeNumberField(SimulatorProtocol.ENDPOINT_ID, start.endpointId());
+    } else if (action instanceof CancelAttempt cancel) {
+      open(out, SimulatorProtocol.CANCEL_ATTEMPT);
+      out.writeStringField(SimulatorProtocol.REQUEST_ID, cancel.requestId());
+      out.writeNumberField(SimulatorProtocol.ATTEMPT, cancel.attempt());
+    } else if (action instanceof RejectRequest reject) {
+      open(out, SimulatorProtocol.REJECT_REQUEST);
+      out.writeStringField(SimulatorProtocol.REQUEST_ID, reject.requestId());
+      out.writeNumberField(SimulatorProtocol.RETRY_AFTER, reject.retryAfterNanos());
+    } else if (action instanceof FailRequest fail) {
+      open(out, SimulatorProtocol.FAIL_REQUEST);
+      out.writeStringField(SimulatorProtocol.REQUEST_ID, fail.requestId());
+    } else if (action instanceof SetTimer timer) {
+      open(out, SimulatorProtocol.SET_TIMER);
+      out.writeStringField(SimulatorProtocol.TIMER_TOKEN, timer.token());
+      out.writeNumberField(SimulatorProtocol.FIRE_AT, timer.atNanos());
+    } else {
+      writeEndpointAction(out, action);
+    }
+    close(out);
+  }
+
+  /** Writes an action that concerns no single request. */
+  private static void writeEndpointAction(JsonGenerator out, Action action) throws IOException {
+    if (action instanceof WatchEndpoints watch) {
+      open(out, SimulatorProtocol.WATCH_ENDPOINTS);
+      out.writeBooleanField(SimulatorProtocol.ENABLED, watch.enabled());
     } else if (action instanceof FetchEndpoints) {
-      open(out, "Resolve");
-    } else if (action instanceof CheckHealth a) {
-      open(out, "SoundOut");
-      out.writeNumberField("upstream", a.endpointId());
-    } else if (action instanceof CloseIdleConnections a) {
-      open(out, "Release");
-      out.writeNumberField("upstream", a.endpointId());
-    } else if (action instanceof SendGossip a) {
-      open(out, "BroadcastTo");
-      out.writeNumberField("recipient", a.to());
-      out.writeStringField("octets", Base64.getEncoder().encodeToString(a.data()));
-    } else if (action instanceof LogMessage a) {
-      open(out, "Emit");
-      out.writeStringField("note-text", a.text());
+      open(out, SimulatorProtocol.FETCH_ENDPOINTS);
+    } else if (action instanceof CheckHealth check) {
+      open(out, SimulatorProtocol.CHECK_HEALTH);
+      out.writeNumberField(SimulatorProtocol.ENDPOINT_ID, check.endpointId());
+    } else if (action instanceof CloseIdleConnections close) {
+      open(out, SimulatorProtocol.CLOSE_IDLE_CONNECTIONS);
+      out.writeNumberField(SimulatorProtocol.ENDPOINT_ID, close.endpointId());
+    } else if (action instanceof SendGossip gossip) {
+      open(out, SimulatorProtocol.SEND_GOSSIP);
+      out.writeNumberField(SimulatorProtocol.GOSSIP_RECIPIENT, gossip.to());
+      String data = Base64.getEncoder().encodeToString(gossip.data());
+      out.writeStringField(SimulatorProtocol.GOSSIP_DATA, data);
+    } else if (action instanceof LogMessage message) {
+      open(out, SimulatorProtocol.LOG_MESSAGE);
+      out.writeStringField(SimulatorProtocol.TEXT, message.text());
     }
-    out.writeEndObject();
-    out.writeEndObject();
   }
 
-  /** Writes the report that an instance's decision code has failed. */
-  static void writeFault(JsonGenerator out, RuntimeException e) throws IOException {
-    open(out, "Fault");
-    StackTraceElement[] trace = e.getStackTrace();
-    out.writeStringField("note-text", e.getClass().getName() + ": " + e.getMessage() + " at "
-        + (trace.length == 0 ? "unknown place" : trace[0].toString()));
-    out.writeEndObject();
-    out.writeEndObject();
+  /** Writes the report that an instance's decision engine threw an exception. */
+  static void writeFault(JsonGenerator out, RuntimeException exception) throws IOException {
+    StackTraceElement[] trace = exception.getStackTrace();
+    String place = trace.length == 0 ? "unknown place" : trace[0].toString();
+    open(out, SimulatorProtocol.FAULT);
+    out.writeStringField(
+        SimulatorProtocol.TEXT,
+        exception.getClass().getName() + ": " + exception.getMessage() + " at " + place);
+    close(out);
   }
 
   private static void open(JsonGenerator out, String name) throws IOException {
     out.writeStartObject();
     out.writeObjectFieldStart(name);
   }
+
+  private static void close(JsonGenerator out) throws IOException {
+    out.writeEndObject();
+    out.writeEndObject();
+  }
 }
--- a/src/main/java/loadbalancer/simulator/EventDecoder.java
+++ b/src/main/java/loadbalancer/simulator/EventDecoder.java
@@ -4,8 +4,6 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Map;
-import loadbalancer.json.JsonFields;
-import loadbalancer.json.MalformedInputException;
 import loadbalancer.decision.api.AttemptStatus;
 import loadbalancer.decision.api.Endpoint;
 import loadbalancer.decision.api.EndpointState;
@@ -19,61 +17,133 @@
 import loadbalancer.decision.api.Event.ResponseStarted;
 import loadbalancer.decision.api.Event.TimerFired;
 import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.json.JsonFields;
+import loadbalancer.json.MalformedInputException;
 
-/** Translates the wire's events into the module's. */
+/** Decodes the simulator's messages to events of the decision engine. */
 final class EventDecoder {
 
-  private static final Map<String, AttemptStatus> STATUS = Map.of("served", AttemptStatus.SUCCESS, "server_error", AttemptStatus.ERROR,
-      "turned_away", AttemptStatus.REJECTED, "no_answer", AttemptStatus.TIMEOUT, "no_connection", AttemptStatus.CONNECT_FAILED,
-      "connection_lost", AttemptStatus.RESET, "called_off", AttemptStatus.CANCELLED, "not_sent", AttemptStatus.NOT_SENT);
-  private static final Map<String, EndpointState> STATE =
-      Map.of("up", EndpointState.READY, "draining", EndpointState.DRAINING, "removed", EndpointState.GONE);
-  private static final Map<String, UpdateKind> LIST_KIND =
-      Map.of("D", UpdateKind.DELTA, "F", UpdateKind.FULL, "C", UpdateKind.CACHED, "X", UpdateKind.FAILED);
+  private static final Map<String, AttemptStatus> STATUSES =
+      Map.of(
+          "served", AttemptStatus.SUCCESS,
+          "server_error", AttemptStatus.ERROR,
+          "turned_away", AttemptStatus.REJECTED,
+          "no_answer", AttemptStatus.TIMEOUT,
+          "no_connection", AttemptStatus.CONNECT_FAILED,
+          "connection_lost", AttemptStatus.RESET,
+          "called_off", AttemptStatus.CANCELLED,
+          "not_sent", AttemptStatus.NOT_SENT);
+  private static final Map<String, EndpointState> STATES =
+      Map.of(
+          "up", EndpointState.READY,
+          "draining", EndpointState.DRAINING,
+          "removed", EndpointState.GONE);
+  private static final Map<String, UpdateKind> UPDATE_KINDS =
+      Map.of(
+          "D", UpdateKind.DELTA,
+          "F", UpdateKind.FULL,
+          "C", UpdateKind.CACHED,
+          "X", UpdateKind.FAILED);
 
   private EventDecoder() {}
 
-  /** An event by its wire name; start and stop of an instance are not among these. */
-  static Event event(String name, JsonFields f) {
+  /**
+   * Decodes an event.
+   *
+   * @param name the message's name; those that start and end an instance are not events
+   * @throws MalformedInputException if there is no such event, or a field is not of its type
+   */
+  static Event decode(String name, JsonFields fields) {
     return switch (name) {
-      case "Topology" -> topology(f);
-      case "JobIn" -> new RequestArrived(f.text("rid"), f.text("service"), tenant(f), f.text("object", null),
-          f.integer("drop-dead-ns"), f.integer("weight-hint-ns", 0), f.bool("retry", false));
-      case "First" -> new ResponseStarted(f.text("rid"), (int) f.integer("go"), f.integer("upstream"),
-          f.integer("wait-time-ns"));
-      case "Resolved" -> new AttemptEnded(f.text("rid"), (int) f.integer("go"), f.integer("upstream"),
-          f.constant("rc", STATUS), f.integer("wait-time-ns"), f.bool("done-flag"), f.numbersOrEmpty("usage"));
-      case "Aborted" -> new ClientDisconnected(f.text("rid"));
-      case "Fired" -> new TimerFired(f.text("handle"));
-      case "HealthResult" -> new HealthCheckResult(f.integer("upstream"), f.constant("rc", STATUS), f.integer("wait-time-ns"),
-          f.numbersOrEmpty("usage"));
-      case "Datagram" -> new GossipReceived((int) f.integer("neighbour"), bytes(f));
-      default -> throw MalformedInputException.invalid(f.path(), "unknown event");
+      case SimulatorProtocol.ENDPOINT_LIST_UPDATE -> endpointListUpdate(fields);
+      case SimulatorProtocol.REQUEST_ARRIVED -> requestArrived(fields);
+      case SimulatorProtocol.RESPONSE_STARTED -> responseStarted(fields);
+      case SimulatorProtocol.ATTEMPT_ENDED -> attemptEnded(fields);
+      case SimulatorProtocol.CLIENT_DISCONNECTED ->
+          new ClientDisconnected(fields.text(SimulatorProtocol.REQUEST_ID));
+      case SimulatorProtocol.TIMER_FIRED ->
+          new TimerFired(fields.text(SimulatorProtocol.TIMER_TOKEN));
+      case SimulatorProtocol.HEALTH_CHECK_RESULT -> healthCheckResult(fields);
+      case SimulatorProtocol.GOSSIP_RECEIVED ->
+          new GossipReceived(
+              (int) fields.integer(SimulatorProtocol.GOSSIP_SENDER), gossipData(fields));
+      default -> throw MalformedInputException.invalid(fields.path(), "unknown event");
     };
   }
 
-  /** Sites without tenants leave the field out or write 0. */
-  private static String tenant(JsonFields f) {
-    return f.isZero("user-group") ? null : f.text("user-group", null);
+  private static RequestArrived requestArrived(JsonFields fields) {
+    return new RequestArrived(
+        fields.text(SimulatorProtocol.REQUEST_ID),
+        fields.text(SimulatorProtocol.CLASS_NAME),
+        tenant(fields),
+        fields.text(SimulatorProtocol.AFFINITY_KEY, null),
+        fields.integer(SimulatorProtocol.DEADLINE),
+        fields.integer(SimulatorProtocol.WORK_HINT, 0),
+        fields.bool(SimulatorProtocol.RETRY, false));
+  }
+
+  /** Sites without tenants omit the field or write 0. */
+  private static String tenant(JsonFields fields) {
+    return fields.isZero(SimulatorProtocol.TENANT)
+        ? null
+        : fields.text(SimulatorProtocol.TENANT, null);
+  }
+
+  private static ResponseStarted responseStarted(JsonFields fields) {
+    return new ResponseStarted(
+        fields.text(SimulatorProtocol.REQUEST_ID),
+        (int) fields.integer(SimulatorProtocol.ATTEMPT),
+        fields.integer(SimulatorProtocol.ENDPOINT_ID),
+        fields.integer(SimulatorProtocol.LATENCY));
+  }
+
+  private static AttemptEnded attemptEnded(JsonFields fields) {
+    return new AttemptEnded(
+        fields.text(SimulatorProtocol.REQUEST_ID),
+        (int) fields.integer(SimulatorProtocol.ATTEMPT),
+        fields.integer(SimulatorProtocol.ENDPOINT_ID),
+        fields.constant(SimulatorProtocol.STATUS, STATUSES),
+        fields.integer(SimulatorProtocol.LATENCY),
+        fields.bool(SimulatorProtocol.FINISHED),
+        fields.numbersOrEmpty(SimulatorProtocol.LOAD_REPORT));
   }
 
-  private static byte[] bytes(JsonFields f) {
+  private static HealthCheckResult healthCheckResult(JsonFields fields) {
+    return new HealthCheckResult(
+        fields.integer(SimulatorProtocol.ENDPOINT_ID),
+        fields.constant(SimulatorProtocol.STATUS, STATUSES),
+        fields.integer(SimulatorProtocol.LATENCY),
+        fields.numbersOrEmpty(SimulatorProtocol.LOAD_REPORT));
+  }
+
+  private static byte[] gossipData(JsonFields fields) {
     try {
-      return Base64.getDecoder().decode(f.text("octets"));
+      return Base64.getDecoder().decode(fields.text(SimulatorProtocol.GOSSIP_DATA));
     } catch (IllegalArgumentException e) {
-      throw MalformedInputException.invalid(f.pathOf("octets"), "expected base64");
+      throw MalformedInputException.invalid(
+          fields.pathOf(SimulatorProtocol.GOSSIP_DATA), "expected base64");
     }
   }
 
-  private static EndpointListUpdate topology(JsonFields f) {
-    UpdateKind kind = f.constant("kind", LIST_KIND);
-    List<Endpoint> entries = new ArrayList<>();
-    if (kind != UpdateKind.FAILED || f.has("entries")) {
-      for (JsonFields e : f.objects("entries")) {
-        entries.add(new Endpoint(e.integer("upstream"), e.text("region-part", ""), (int) e.integer("pack", 0),
-            e.constant("stage-state", STATE), e.integer("launched-ns", 0), e.number("capacity-hint", 1)));
+  /** A failed update may omit the endpoints. */
+  private static EndpointListUpdate endpointListUpdate(JsonFields fields) {
+    UpdateKind kind = fields.constant(SimulatorProtocol.UPDATE_KIND, UPDATE_KINDS);
+    List<Endpoint> endpoints = new ArrayList<>();
+    if (kind != UpdateKind.FAILED || fields.has(SimulatorProtocol.ENDPOINTS)) {
+      for (JsonFields entry : fields.objects(SimulatorProtocol.ENDPOINTS)) {
+        endpoints.add(endpoint(entry));
       }
     }
-    return new EndpointListUpdate(kind, entries);
+    return new EndpointListUpdate(kind, endpoints);
+  }
+
+  private static Endpoint endpoint(JsonFields entry) {
+    return new Endpoint(
+        entry.integer(SimulatorProtocol.ENDPOINT_ID),
+        entry.text(SimulatorProtocol.ZONE, ""),
+        (int) entry.integer(SimulatorProtocol.CELL, 0),
+        entry.constant(SimulatorProtocol.STATE, STATES),
+        entry.integer(SimulatorProtocol.STARTED, 0),
+        entry.number(SimulatorProtocol.WEIGHT, 1));
   }
 }
--- a/src/main/java/loadbalancer/simulator/SimulateCommand.java
+++ b/src/main/java/loadbalancer/simulator/SimulateCommand.java
@@ -5,19 +5,27 @@
 import java.io.PrintStream;
 import loadbalancer.json.MalformedInputException;
 
-/** Entry point of the wire adapter. */
+/** The subcommand that lets the simulator drive decision engines. */
 public final class SimulateCommand {
 
+  private static final int SUCCESS = 0;
+  private static final int MALFORMED_INPUT = 1;
+
   private SimulateCommand() {}
 
-  /** Answers events until the input ends; the exit status is then 0, and 1 for malformed input. */
+  /**
+   * Replies to batches until the input ends.
+   *
+   * @return the exit status: 0 at the end of the input, 1 for malformed input, which is described
+   *     in one line on {@code err}
+   */
   public static int run(InputStream in, PrintStream out, PrintStream err) throws IOException {
     try {
       new SimulatorAdapter(in, out).run();
-      return 0;
+      return SUCCESS;
     } catch (MalformedInputException e) {
       err.println(e.getMessage());
-      return 1;
+      return MALFORMED_INPUT;
     }
   }
 }
--- a/src/main/java/loadbalancer/simulator/SimulatorAdapter.java
+++ b/src/main/java/loadbalancer/simulator/SimulatorAdapter.java
@@ -8,97 +8,129 @@
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
-import loadbalancer.json.JsonFields;
-import loadbalancer.json.MalformedInputException;
 import loadbalancer.config.SettingsDecoder;
 import loadbalancer.decision.LoadBalancingEngine;
 import loadbalancer.decision.api.Action;
 import loadbalancer.decision.api.DecisionEngine;
 import loadbalancer.decision.api.Event;
+import loadbalancer.json.JsonFields;
+import loadbalancer.json.MalformedInputException;
 
-/** The conversation: a batch of events a line in, a line of actions out; one module instance for each balancer. */
+/**
+ * The conversation with the simulator: each line of the input is a batch of messages for some
+ * instances, and each gets one line with the instances' actions. Owns the decision engines, one for
+ * every instance that has been started and not ended.
+ */
 final class SimulatorAdapter {
 
+  /** Bytes: most batches and replies fit. */
+  private static final int BUFFER_SIZE = 1 << 16;
+
   private final JsonFactory json = new JsonFactory();
   private final BufferedReader in;
   private final OutputStream out;
-  private final Map<Long, DecisionEngine> instances = new HashMap<>();
+  private final Map<Long, DecisionEngine> engines = new HashMap<>();
 
   SimulatorAdapter(InputStream in, OutputStream out) {
-    this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+    this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), BUFFER_SIZE);
     this.out = out;
   }
 
-  /** Answers batches until the input ends. */
+  /**
+   * Replies to batches until the input ends.
+   *
+   * @throws MalformedInputException at the first batch that is malformed, naming its line
+   */
   void run() throws IOException {
     long line = 0;
-    ByteArrayOutputStream reply = new ByteArrayOutputStream(1 << 16);
+    ByteArrayOutputStream reply = new ByteArrayOutputStream(BUFFER_SIZE);
     for (String text = in.readLine(); text != null; text = in.readLine()) {
       line++;
       reply.reset();
-      try (JsonGenerator generator = json.createGenerator(reply)) {
-        answer(JsonFields.parse(json, "batch", text), generator);
-      } catch (MalformedInputException e) {
-        throw e.at("line " + line);
-      } catch (IllegalArgumentException e) {
-        throw new MalformedInputException("line " + line + ": " + e.getMessage());
-      }
+      writeReply(line, text, reply);
       reply.write('\n');
       reply.writeTo(out);
       out.flush();
     }
   }
 
-  private void answer(JsonFields batch, JsonGenerator generator) throws IOException {
-    long now = batch.integer("clock-ns");
+  private void writeReply(long line, String text, OutputStream reply) throws IOException {
+    String place = "line " + line;
+    try (JsonGenerator generator = json.createGenerator(reply)) {
+      handleBatch(JsonFields.parse(json, "batch", text), generator);
+    } catch (MalformedInputException e) {
+      throw e.at(place);
+    } catch (IllegalArgumentException e) {
+      // Settings that cannot make sense.
+      throw new MalformedInputException(place + ": " + e.getMessage());
+    }
+  }
+
+  private void handleBatch(JsonFields batch, JsonGenerator generator) throws IOException {
+    long nowNanos = batch.integer(SimulatorProtocol.CLOCK);
     generator.writeStartObject();
-    generator.writeArrayFieldStart("groups");
-    for (JsonFields group : batch.objects("groups")) {
-      long id = group.integer("balancer");
-      generator.writeStartObject();
-      generator.writeNumberField("balancer", id);
-      generator.writeArrayFieldStart("actions");
-      for (JsonFields message : group.objects("msgs")) {
-        handle(now, id, message, generator);
-      }
-      generator.writeEndArray();
-      generator.writeEndObject();
+    generator.writeArrayFieldStart(SimulatorProtocol.GROUPS);
+    for (JsonFields group : batch.objects(SimulatorProtocol.GROUPS)) {
+      handleGroup(nowNanos, group, generator);
     }
     generator.writeEndArray();
     generator.writeEndObject();
   }
 
-  private void handle(long now, long id, JsonFields message, JsonGenerator generator) throws IOException {
+  private void handleGroup(long nowNanos, JsonFields group, JsonGenerator generator)
+      throws IOException {
+    long instance = group.integer(SimulatorProtocol.BALANCER);
+    generator.writeStartObject();
+    generator.writeNumberField(SimulatorProtocol.BALANCER, instance);
+    generator.writeArrayFieldStart(SimulatorProtocol.ACTIONS);
+    for (JsonFields message : group.objects(SimulatorProtocol.MESSAGES)) {
+      handleMessage(nowNanos, instance, message, generator);
+    }
+    generator.writeEndArray();
+    generator.writeEndObject();
+  }
+
+  private void handleMessage(
+      long nowNanos, long instance, JsonFields message, JsonGenerator generator)
+      throws IOException {
     String name = message.onlyFieldName("event");
-    JsonFields f = message.object(name);
-    if (name.equals("Provision")) {
-      instances.put(id, new LoadBalancingEngine(SettingsDecoder.decode(f.object("boot-info")), f.integer("seed")));
+    JsonFields fields = message.object(name);
+    if (name.equals(SimulatorProtocol.PROVISION)) {
+      engines.put(instance, newEngine(fields));
       return;
     }
-    DecisionEngine instance = instances.get(id);
-    if (instance == null) {
-      throw MalformedInputException.invalid(f.path(), "balancer " + id + " was never provisioned");
+    DecisionEngine engine = engines.get(instance);
+    if (engine == null) {
+      throw MalformedInputException.invalid(
+          fields.path(), "balancer " + instance + " was never provisioned");
     }
-    if (name.equals("Kill")) {
-      instances.remove(id);
+    if (name.equals(SimulatorProtocol.KILL)) {
+      engines.remove(instance);
       return;
     }
-    Event event = EventDecoder.event(name, f);
+    Event event = EventDecoder.decode(name, fields);
     try {
-      instance.handle(now, event, action -> write(generator, action));
+      engine.handle(nowNanos, event, action -> write(generator, action));
     } catch (RuntimeException e) {
       ActionEncoder.writeFault(generator, e);
     }
   }
 
+  private static DecisionEngine newEngine(JsonFields provision) {
+    JsonFields settings = provision.object(SimulatorProtocol.SETTINGS);
+    return new LoadBalancingEngine(
+        SettingsDecoder.decode(settings), provision.integer(SimulatorProtocol.SEED));
+  }
+
   private static void write(JsonGenerator generator, Action action) {
     try {
       ActionEncoder.write(generator, action);
     } catch (IOException e) {
-      throw new java.io.UncheckedIOException(e);
+      throw new UncheckedIOException(e);
     }
   }
 }
