Cut the discovery client into client, stream, limits and framer

One class of 290 lines opened calls, timed them, cut their responses into lists and decided where the watch goes. DiscoveryClient keeps the watch and the account of failures; a DiscoveryStream is one call; StreamLimits keeps its time limits, whose figures and reasons stand in DiscoveryTimeouts; EndpointListFramer cuts out the lists; DiscoveryFailure says why a call failed. Log lines are discovery_failed reason="..." and discovery_recovered address=...

The Host header of a call that connects while discovery moves is that of the address it connects to; it was the new one. All else is as before: the same order of stop, report and reopening, the same limits.

DiscoveryClientTest is split by topic with all its checks: lists of a watch (DiscoveryWatchTest), failures (DiscoveryFailureTest), time to an update after failures (DiscoveryRecoveryTest), sums of limits (DiscoveryTimeoutsTest), start times (EndpointDirectoryTest, with new tests of ids and restarts).

Not run: LargeFleetIT, which still waits for the log's former words.

--- /dev/null
+++ b/src/main/java/loadbalancer/discovery/DiscoveryStream.java
@@ -0,0 +1,243 @@
+package loadbalancer.discovery;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.json.JsonFields;
+import loadbalancer.json.MalformedInputException;
+
+/**
+ * One call to discovery on a connection of its own: a fetch, which ends with its response, or a
+ * watch, which must not end. It fails once at most, and reports nothing after it has failed or was
+ * stopped. All of it runs on the event loop.
+ */
+final class DiscoveryStream extends SimpleChannelInboundHandler<HttpObject> {
+
+  /** Gets what a stream receives. Both methods may stop the stream and open others. */
+  interface Listener {
+
+    /** A list arrived. */
+    void listReceived(EndpointList list);
+
+    /**
+     * The stream failed and has closed its connection.
+     *
+     * @param detail further information for the log; null if there is none
+     */
+    void failed(DiscoveryStream stream, DiscoveryFailure failure, String detail);
+  }
+
+  private static final String LIST_PATH = "/v1/servers";
+  private static final JsonFactory JSON = new JsonFactory();
+
+  private final Bootstrap bootstrap;
+  private final InetSocketAddress address;
+  private final String uri;
+  private final boolean isWatch;
+  private final StreamLimits limits;
+  private final Listener listener;
+  private final EndpointListFramer framer = new EndpointListFramer();
+  private Channel channel;
+  private Future<?> limitCheck;
+  private boolean ended;
+
+  private DiscoveryStream(
+      Bootstrap bootstrap,
+      InetSocketAddress address,
+      String uri,
+      boolean isWatch,
+      long firstListMillis,
+      Listener listener) {
+    this.bootstrap = bootstrap;
+    this.address = address;
+    this.uri = uri;
+    this.isWatch = isWatch;
+    limits = new StreamLimits(firstListMillis);
+    this.listener = listener;
+  }
+
+  /** A call for the complete list, once. */
+  static DiscoveryStream fetch(
+      Bootstrap bootstrap, InetSocketAddress address, long firstListMillis, Listener listener) {
+    return new DiscoveryStream(bootstrap, address, LIST_PATH, false, firstListMillis, listener);
+  }
+
+  /** A call for the list, if it is newer than a revision, and for all changes from then on. */
+  static DiscoveryStream watch(
+      Bootstrap bootstrap,
+      InetSocketAddress address,
+      long sinceRevision,
+      long firstListMillis,
+      Listener listener) {
+    String uri = LIST_PATH + "?follow=1&since=" + sinceRevision;
+    return new DiscoveryStream(bootstrap, address, uri, true, firstListMillis, listener);
+  }
+
+  /** Connects and sends the request. */
+  void open() {
+    ChannelFuture connect = bootstrap.clone().handler(new PipelineInitializer()).connect(address);
+    if (connect.isDone() && !connect.isSuccess()) {
+      // No socket could be opened. Netty would announce that on a thread of its own.
+      eventLoop().execute(() -> fail(DiscoveryFailure.NO_SOCKET, null));
+      return;
+    }
+    channel = connect.channel();
+    long interval = DiscoveryTimeouts.CHECK_INTERVAL_MILLIS;
+    limitCheck =
+        eventLoop()
+            .scheduleWithFixedDelay(this::checkLimits, interval, interval, TimeUnit.MILLISECONDS);
+    connect.addListener(
+        future -> {
+          if (future.isSuccess()) {
+            sendRequest();
+          } else {
+            fail(DiscoveryFailure.CONNECT_FAILED, null);
+          }
+        });
+  }
+
+  private EventLoop eventLoop() {
+    return bootstrap.config().group().next();
+  }
+
+  private void sendRequest() {
+    HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
+    String host = address.getAddress().getHostAddress() + ":" + address.getPort();
+    request.headers().set(HttpHeaderNames.HOST, host);
+    channel.writeAndFlush(request);
+  }
+
+  /** Ends the call without a report. */
+  void stop() {
+    ended = true;
+    if (channel != null) {
+      limitCheck.cancel(false);
+      channel.close();
+    }
+  }
+
+  /** Whether at least one list has arrived. */
+  boolean hasReceivedList() {
+    return limits.hasReceivedList();
+  }
+
+  private void fail(DiscoveryFailure failure, String detail) {
+    if (!ended) {
+      stop();
+      listener.failed(this, failure, detail);
+    }
+  }
+
+  private void checkLimits() {
+    DiscoveryFailure exceeded = limits.exceeded();
+    if (exceeded != null) {
+      fail(exceeded, null);
+    }
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+    limits.received();
+    if (message instanceof HttpResponse response
+        && !response.status().equals(HttpResponseStatus.OK)) {
+      fail(DiscoveryFailure.UNEXPECTED_STATUS, Integer.toString(response.status().code()));
+    } else if (!message.decoderResult().isSuccess()) {
+      fail(DiscoveryFailure.MALFORMED_RESPONSE, null);
+    } else if (message instanceof HttpContent content) {
+      contentReceived(context, content);
+    }
+  }
+
+  private void contentReceived(ChannelHandlerContext context, HttpContent content) {
+    context.fireChannelRead(content.content().retain());
+    limits.setWithinList(framer.isWithinList());
+    if (content instanceof LastHttpContent) {
+      responseEnded();
+    }
+  }
+
+  private void responseEnded() {
+    if (limits.hasReceivedList() && !isWatch) {
+      stop();
+    }
+    fail(DiscoveryFailure.STREAM_ENDED, null);
+  }
+
+  private void listReceived(String text) {
+    if (ended) {
+      return;
+    }
+    limits.listCompleted();
+    EndpointList list;
+    try {
+      list = EndpointListParser.parse(JsonFields.parse(JSON, "list", text));
+    } catch (MalformedInputException e) {
+      fail(DiscoveryFailure.MALFORMED_LIST, e.getMessage());
+      return;
+    }
+    limits.listAccepted();
+    listener.listReceived(list);
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    fail(DiscoveryFailure.CONNECTION_LOST, null);
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    boolean isConnectionLost = cause instanceof IOException;
+    fail(
+        isConnectionLost ? DiscoveryFailure.CONNECTION_LOST : DiscoveryFailure.INTERNAL_ERROR,
+        cause.toString());
+  }
+
+  /** The codec, the stream, the framer and the receiver of what the framer cuts out. */
+  private final class PipelineInitializer extends ChannelInitializer<Channel> {
+    @Override
+    protected void initChannel(Channel created) {
+      created
+          .pipeline()
+          .addLast(new HttpClientCodec(), DiscoveryStream.this, framer, new ListReceiver());
+    }
+  }
+
+  /** The last handler: gets the lists one by one, and the framer's exceptions. */
+  private final class ListReceiver extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf text) {
+      listReceived(text.toString(StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      boolean isFramingError = cause instanceof DecoderException;
+      fail(
+          isFramingError ? DiscoveryFailure.MALFORMED_LIST : DiscoveryFailure.INTERNAL_ERROR,
+          cause.toString());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/discovery/DiscoveryFailureTest.java
@@ -0,0 +1,87 @@
+package loadbalancer.discovery;
+
+import static loadbalancer.discovery.DiscoveryTestSupport.POLLED;
+import static loadbalancer.discovery.DiscoveryTestSupport.READY_MEMBER;
+import static loadbalancer.discovery.DiscoveryTestSupport.nextUpdate;
+import static loadbalancer.discovery.DiscoveryTestSupport.proxy;
+import static loadbalancer.discovery.DiscoveryTestSupport.watchingEngine;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Every failure of a call is noticed and reported. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class DiscoveryFailureTest {
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "HTTP/1.1 503 Service Unavailable~Content-Length: 0~~",
+        "HTTP/1.1 200 OK~Content-Length: 9~~not JSON~",
+        "HTTP/1.1 200 OK~Content-Length: 100~~{\"revision\":",
+        "''"
+      })
+  void reportsAFailedResponse(String response) throws Exception {
+    ScriptedEngine engine = watchingEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          connection.write(response.replace("~", "\r\n"));
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      engine.next(EndpointListUpdate.class);
+      assertEquals("FAILED 0", nextUpdate(engine));
+    }
+  }
+
+  /** The empty lines go on, so that the watch is not silent. */
+  @Test
+  void reportsAListThatIsCutOffWithinAWatch() throws Exception {
+    ScriptedEngine engine = watchingEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          String begun = ProxyFixture.list(42, false, READY_MEMBER).substring(0, 60);
+          connection.write(DiscoveryMessages.watch(begun));
+          while (true) {
+            connection.write(DiscoveryMessages.chunk(""));
+            Thread.sleep(20);
+          }
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      engine.next(EndpointListUpdate.class);
+      assertEquals("FAILED 0", nextUpdate(engine));
+    }
+  }
+
+  @Test
+  void reportsAndClosesAWatchThatFallsSilent() throws Exception {
+    ScriptedEngine engine = watchingEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          connection.write(DiscoveryMessages.watch(ProxyFixture.list(42, false, READY_MEMBER)));
+          connection.next();
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      engine.next(EndpointListUpdate.class);
+      assertEquals("DELTA 1 READY", nextUpdate(engine));
+      assertEquals("FAILED 0", nextUpdate(engine));
+      assertTrue(discovery.connections.take().ends());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/discovery/DiscoveryRecoveryTest.java
@@ -0,0 +1,178 @@
+package loadbalancer.discovery;
+
+import static loadbalancer.discovery.DiscoveryTestSupport.PUSHED;
+import static loadbalancer.discovery.DiscoveryTestSupport.READY_MEMBER;
+import static loadbalancer.discovery.DiscoveryTestSupport.WATCH_HEAD;
+import static loadbalancer.discovery.DiscoveryTestSupport.describe;
+import static loadbalancer.discovery.DiscoveryTestSupport.nextUpdate;
+import static loadbalancer.discovery.DiscoveryTestSupport.passiveEngine;
+import static loadbalancer.discovery.DiscoveryTestSupport.proxy;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.LoadBalancingEngine;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** After failures of any kind an update arrives within the time that the protocol allows. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class DiscoveryRecoveryTest {
+
+  private static final String DRAINING_MEMBER = DiscoveryTestSupport.member("draining");
+
+  /**
+   * A watch falls silent, and the one that replaces it connects and is dead as well. That once took
+   * more than 9 s.
+   */
+  @Test
+  void updatesArriveInTimeBehindTwoSilentWatches() throws Exception {
+    ScriptedEngine engine = passiveEngine();
+    AtomicInteger watches = new AtomicInteger();
+    AtomicLong silentAtNanos = new AtomicLong();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          switch (watches.incrementAndGet()) {
+            case 1 -> {
+              connection.write(DiscoveryMessages.watch(ProxyFixture.list(42, true, READY_MEMBER)));
+              silentAtNanos.set(System.nanoTime());
+            }
+            case 2 -> connection.write(WATCH_HEAD);
+            default ->
+                connection.write(
+                    DiscoveryMessages.watch(ProxyFixture.list(43, false, DRAINING_MEMBER)));
+          }
+          connection.ends();
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, PUSHED, engine)) {
+      assertEquals("CACHED 1 READY", nextUpdate(engine));
+      assertEquals("FULL 1 READY", nextUpdate(engine));
+      assertEquals("DELTA 1 DRAINING", nextUpdate(engine));
+      long tookMillis = millisSince(silentAtNanos);
+      assertTrue(tookMillis < 6000, "the update took " + tookMillis + " ms");
+      assertEquals(3, watches.get());
+    }
+  }
+
+  private static long millisSince(AtomicLong nanos) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - nanos.get());
+  }
+
+  /** How a call fails. */
+  private enum FailingCall {
+    SILENT(FakeServer.Connection::ends),
+    HALF_A_HEAD(
+        connection -> {
+          connection.write("HTTP/1.1 200 OK\r\nTransfer-");
+          connection.ends();
+        }),
+    NO_LIST(
+        connection -> {
+          connection.write(WATCH_HEAD);
+          while (true) {
+            connection.write(DiscoveryMessages.chunk(""));
+            Thread.sleep(200);
+          }
+        }),
+    LIST_CUT_OFF(
+        connection -> {
+          String begun = ProxyFixture.list(42, true, READY_MEMBER).substring(0, 60);
+          connection.write(DiscoveryMessages.watch(begun));
+          connection.ends();
+        }),
+    CLOSED(connection -> {}),
+    RESET(FakeServer.Connection::reset),
+    UNAVAILABLE(
+        connection ->
+            connection.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")),
+    MALFORMED(
+        connection -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot JSON\n"));
+
+    private final FakeServer.Script script;
+
+    FailingCall(FakeServer.Script script) {
+      this.script = script;
+    }
+  }
+
+  /** Calls fail several times in a row; right after the last of them began there is an update. */
+  @ParameterizedTest
+  @CsvSource({"pushed", "on_request"})
+  void updatesArriveInTimeWhateverFailedBefore(String mode) throws Exception {
+    ExecutorService executor = Executors.newCachedThreadPool();
+    try {
+      Map<FailingCall, Future<Long>> results = new EnumMap<>(FailingCall.class);
+      for (FailingCall failingCall : FailingCall.values()) {
+        results.put(failingCall, executor.submit(() -> millisToUpdate(failingCall, 4, mode)));
+      }
+      for (Map.Entry<FailingCall, Future<Long>> result : results.entrySet()) {
+        long millis = result.getValue().get(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertTrue(
+            millis < DiscoveryTimeouts.UPDATE_DEADLINE_MILLIS - 1000,
+            result.getKey() + ": the update took " + millis + " ms");
+      }
+    } finally {
+      executor.shutdownNow();
+    }
+  }
+
+  private static long millisToUpdate(FailingCall failingCall, int times, String mode)
+      throws Exception {
+    AtomicInteger calls = new AtomicInteger();
+    AtomicLong reachableAtNanos = new AtomicLong();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          if (calls.incrementAndGet() <= times) {
+            reachableAtNanos.set(System.nanoTime());
+            failingCall.script.run(connection);
+          } else {
+            connection.write(DiscoveryMessages.watch(ProxyFixture.list(43, true, DRAINING_MEMBER)));
+            connection.ends();
+          }
+        };
+    BlockingQueue<EndpointListUpdate> fullUpdates = new LinkedBlockingQueue<>();
+    try (FakeServer discovery = new FakeServer(script)) {
+      BalancerConfig config = DiscoveryTestSupport.config(discovery, mode);
+      try (ProxyFixture proxy = new ProxyFixture(config, recordingEngine(config, fullUpdates))) {
+        EndpointListUpdate update =
+            fullUpdates.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        assertEquals("FULL 1 DRAINING", describe(update));
+        return millisSince(reachableAtNanos);
+      }
+    }
+  }
+
+  /** The real engine, behind one that records the complete lists. */
+  private static DecisionEngine recordingEngine(
+      BalancerConfig config, BlockingQueue<EndpointListUpdate> fullUpdates) {
+    DecisionEngine engine = new LoadBalancingEngine(config.settings(), config.seed());
+    return (nowNanos, event, actions) -> {
+      if (event instanceof EndpointListUpdate update && update.kind() == UpdateKind.FULL) {
+        fullUpdates.add(update);
+      }
+      engine.handle(nowNanos, event, actions);
+    };
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/discovery/DiscoveryWatchTest.java
@@ -0,0 +1,159 @@
+package loadbalancer.discovery;
+
+import static loadbalancer.discovery.DiscoveryTestSupport.POLLED;
+import static loadbalancer.discovery.DiscoveryTestSupport.PUSHED;
+import static loadbalancer.discovery.DiscoveryTestSupport.READY_MEMBER;
+import static loadbalancer.discovery.DiscoveryTestSupport.WATCH_HEAD;
+import static loadbalancer.discovery.DiscoveryTestSupport.nextUpdate;
+import static loadbalancer.discovery.DiscoveryTestSupport.passiveEngine;
+import static loadbalancer.discovery.DiscoveryTestSupport.proxy;
+import static loadbalancer.discovery.DiscoveryTestSupport.watchingEngine;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.Action.FetchEndpoints;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Lists arrive whole and in order, however they are laid out and cut into pieces. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class DiscoveryWatchTest {
+
+  private static final String DRAINING_MEMBER =
+      ProxyFixture.member("s-b", "127.0.0.1:2", "draining");
+
+  @Test
+  void reportsEveryListOfAWatchAndItsEnd() throws Exception {
+    ScriptedEngine engine = watchingEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          String gone =
+              DiscoveryMessages.chunk(
+                  ProxyFixture.list(43, false, DiscoveryTestSupport.member("gone")));
+          connection.write(
+              DiscoveryMessages.watch(ProxyFixture.list(42, true, READY_MEMBER, DRAINING_MEMBER)));
+          connection.write(DiscoveryMessages.chunk(""));
+          connection.write(gone.substring(0, 20));
+          connection.write(gone.substring(20));
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      assertEquals("CACHED 1 READY", nextUpdate(engine));
+      assertEquals("FULL 2 READY", nextUpdate(engine));
+      assertEquals("DELTA 1 GONE", nextUpdate(engine));
+      assertEquals("FAILED 0", nextUpdate(engine));
+      String request = discovery.requests.take();
+      assertTrue(request.startsWith("GET /v1/servers?follow=1&since=41 HTTP/1.1\r\n"), request);
+    }
+  }
+
+  /** A parser by lines would see many broken lists in an indented one. */
+  @Test
+  void acceptsListsThatSpanSeveralLinesOrShareOne() throws Exception {
+    ScriptedEngine engine = watchingEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          connection.write(
+              DiscoveryMessages.watch(
+                  indented(ProxyFixture.list(42, true, READY_MEMBER, DRAINING_MEMBER))));
+          connection.write(DiscoveryMessages.chunk(""));
+          String gone =
+              indented(
+                  ProxyFixture.list(43, false, ProxyFixture.member("NAME", "127.0.0.1:1", "gone")));
+          for (String line : gone.split("\n")) {
+            connection.write(DiscoveryMessages.chunk(line.replace("NAME", "s-a}{\\\"")));
+          }
+          String first = ProxyFixture.list(44, false, READY_MEMBER);
+          String second = first.replace("44", "45").replace("ready", "draining");
+          connection.write(DiscoveryMessages.chunk(first + second));
+          connection.next();
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      assertEquals("CACHED 1 READY", nextUpdate(engine));
+      assertEquals("FULL 2 READY", nextUpdate(engine));
+      assertEquals("DELTA 1 GONE", nextUpdate(engine), "a name with braces and a quote");
+      assertEquals("DELTA 1 READY", nextUpdate(engine));
+      assertEquals("DELTA 1 DRAINING", nextUpdate(engine), "two on one line");
+    }
+  }
+
+  private static String indented(String list) {
+    return list.replace("{", "{\n  ").replace(",\"", ",\n\n  \"").replace("}", "\n  }");
+  }
+
+  /**
+   * Each piece ends one list and begins the next, for longer in all than one list may stay
+   * incomplete.
+   */
+  @Test
+  void acceptsListsWhosePiecesOverlap() throws Exception {
+    ScriptedEngine engine = watchingEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          String rest = ProxyFixture.list(42, false, READY_MEMBER);
+          connection.write(WATCH_HEAD);
+          for (int revision = 43; revision < 43 + 15; revision++) {
+            String next = ProxyFixture.list(revision, false, READY_MEMBER);
+            connection.write(DiscoveryMessages.chunk(rest + next.substring(0, 15)));
+            rest = next.substring(15);
+            Thread.sleep(100);
+          }
+          connection.write(DiscoveryMessages.chunk(rest));
+          connection.ends();
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      engine.next(EndpointListUpdate.class);
+      for (int i = 0; i < 16; i++) {
+        assertEquals("DELTA 1 READY", nextUpdate(engine));
+      }
+    }
+  }
+
+  @Test
+  void fetchesTheListOnce() throws Exception {
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, actions) -> {
+              if (event instanceof EndpointListUpdate update
+                  && update.kind() == UpdateKind.CACHED) {
+                actions.accept(new FetchEndpoints());
+              }
+            });
+    String list = ProxyFixture.list(50, true, READY_MEMBER);
+    try (FakeServer discovery = FakeServer.answering(FakeServer.ok(list));
+        ProxyFixture proxy = proxy(discovery, POLLED, engine)) {
+      engine.next(EndpointListUpdate.class);
+      assertEquals("FULL 1 READY", nextUpdate(engine));
+      String request = discovery.requests.take();
+      assertTrue(request.startsWith("GET /v1/servers HTTP/1.1\r\n"), request);
+    }
+  }
+
+  @Test
+  void watchesTheAgentUnaskedWhereListsArePushed() throws Exception {
+    ScriptedEngine engine = passiveEngine();
+    FakeServer.Script script =
+        connection -> {
+          connection.next();
+          connection.write(DiscoveryMessages.watch(ProxyFixture.list(42, false, READY_MEMBER)));
+        };
+    try (FakeServer discovery = new FakeServer(script);
+        ProxyFixture proxy = proxy(discovery, PUSHED, engine)) {
+      engine.next(EndpointListUpdate.class);
+      assertEquals("DELTA 1 READY", nextUpdate(engine));
+      assertEquals("DELTA 1 READY", nextUpdate(engine), "again after the first watch ended");
+    }
+  }
+}
