--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/AttemptLimitTest.java
@@ -0,0 +1,113 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Attempts beyond the limits of the settings and of the process. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class AttemptLimitTest {
+
+  private static final long FIRST_ENDPOINT = DiscoveryMessages.number("s-1");
+  private static final long SECOND_ENDPOINT = DiscoveryMessages.number("s-2");
+
+  @Test
+  void doesNotSendMoreAttemptsThanAllowed() throws Exception {
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, out) -> {
+              if (event instanceof RequestArrived request) {
+                out.accept(new StartAttempt(request.requestId(), FIRST_ENDPOINT, 0));
+              } else if (event instanceof AttemptEnded ended && ended.attempt() < 6) {
+                out.accept(new StartAttempt(ended.requestId(), FIRST_ENDPOINT, 0));
+              } else if (event instanceof AttemptEnded ended) {
+                out.accept(new FailRequest(ended.requestId()));
+              }
+            });
+    try (FakeServer upstream =
+            FakeServer.answering("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      for (int i = 0; i < 6; i++) {
+        assertEquals(AttemptStatus.ERROR, engine.next(AttemptEnded.class).status());
+      }
+      assertEquals(AttemptStatus.NOT_SENT, engine.next(AttemptEnded.class).status());
+      assertEquals(6, upstream.requests.size());
+    }
+  }
+
+  @Test
+  void closesIdleConnectionsAtDescriptorLimitAndThenFailsAttempts() throws Exception {
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, out) -> {
+              if (event instanceof RequestArrived request) {
+                boolean second = "true".equals(request.tenant());
+                long endpoint = second ? SECOND_ENDPOINT : FIRST_ENDPOINT;
+                out.accept(new StartAttempt(request.requestId(), endpoint, 0));
+              } else if (event instanceof AttemptEnded ended && !ended.finished()) {
+                out.accept(new FailRequest(ended.requestId()));
+              }
+            });
+    CountDownLatch done = new CountDownLatch(1);
+    try (FakeServer idle = FakeServer.answering(FakeServer.ok("x"));
+        FakeServer busy =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  done.await();
+                });
+        ProxyFixture proxy = new ProxyFixture(configWithSixConnections(idle, busy), engine);
+        Client first = proxy.client();
+        Client second = proxy.client();
+        Client third = proxy.client()) {
+      // Three connections of clients, three to upstreams.
+      first.ask(ProxyFixture.get("t1", ""));
+      assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+      List<Client> clients = List.of(second, third, first);
+      for (int i = 0; i < 3; i++) {
+        clients.get(i).write(ProxyFixture.get("busy" + i, "X-Customer: true\r\n"));
+        assertNotNull(
+            busy.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS),
+            "the idle connection was closed for the third");
+      }
+      try (Client last = proxy.client()) {
+        last.ask(ProxyFixture.get("t4", "X-Customer: true\r\n"));
+      }
+      assertEquals(
+          AttemptStatus.CONNECT_FAILED,
+          engine.next(AttemptEnded.class).status(),
+          "nothing is idle");
+      done.countDown();
+    }
+  }
+
+  /** Allows as many descriptors as leave six connections beside those set aside. */
+  private static BalancerConfig configWithSixConnections(FakeServer first, FakeServer second)
+      throws Exception {
+    String list =
+        ProxyFixture.list(
+            1,
+            true,
+            ProxyFixture.member("s-1", first.address(), "ready"),
+            ProxyFixture.member("s-2", second.address(), "ready"));
+    return ProxyFixture.config(SingleEndpoint.NO_DISCOVERY, list, "on_request", 200, 62, "");
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/AttemptTimeoutTest.java
@@ -0,0 +1,66 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.UnresponsiveUpstream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Attempts that run out of time. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class AttemptTimeoutTest {
+
+  @Test
+  void timeoutCoversConnecting() throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(TimeUnit.MILLISECONDS.toNanos(100));
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream();
+        ProxyFixture proxy =
+            new ProxyFixture(
+                SingleEndpoint.configWithLongConnectTimeout(
+                    SingleEndpoint.NO_DISCOVERY, upstream.address()),
+                engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      assertEquals(
+          AttemptStatus.CONNECT_FAILED,
+          engine.next(AttemptEnded.class).status(),
+          "it was never written");
+    }
+  }
+
+  @Test
+  void timeoutClosesConnectionAndDropsLateResponse() throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(TimeUnit.MILLISECONDS.toNanos(200));
+    CountDownLatch late = new CountDownLatch(1);
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  if (connection.next().contains("X-Trace-Id: slow")) {
+                    late.await();
+                    connection.write(FakeServer.ok("late"));
+                  } else {
+                    connection.write(FakeServer.ok("fresh"));
+                  }
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      assertTrue(client.ask(ProxyFixture.get("slow", "")).startsWith("HTTP/1.1 502 "));
+      assertEquals(AttemptStatus.TIMEOUT, engine.next(AttemptEnded.class).status());
+      FakeServer.Connection slow = upstream.connections.take();
+      assertTrue(slow.ends(), "closed before anything was sent on it");
+      late.countDown();
+      assertTrue(client.ask(ProxyFixture.get("next", "")).endsWith("\r\n\r\nfresh"));
+      assertEquals(1, upstream.connections.size(), "on a new connection");
+      assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/ConnectFailureTest.java
@@ -0,0 +1,45 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.UnresponsiveUpstream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Attempts whose connection is not established never ran. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class ConnectFailureTest {
+
+  @Test
+  void failsToConnectWhenConnectionIsRefused() throws Exception {
+    String closed;
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      closed = "127.0.0.1:" + socket.getLocalPort();
+    }
+    ScriptedEngine engine = new ScriptedEngine(SingleEndpoint.LONG_TIMEOUT_NANOS);
+    try (ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(closed), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      assertEquals(AttemptStatus.CONNECT_FAILED, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  @Test
+  void failsToConnectAfterConnectTimeout() throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(SingleEndpoint.LONG_TIMEOUT_NANOS);
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream();
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      assertEquals(AttemptStatus.CONNECT_FAILED, engine.next(AttemptEnded.class).status());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/ConnectionReuseTest.java
@@ -0,0 +1,98 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Which idle connections are reused, and when they are closed. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class ConnectionReuseTest {
+
+  private final ScriptedEngine engine = new ScriptedEngine(SingleEndpoint.LONG_TIMEOUT_NANOS);
+
+  @Test
+  void doesNotReuseConnectionClosedByUpstream() throws Exception {
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  connection.write(FakeServer.ok("x"));
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t1", ""));
+      assertTrue(upstream.connections.take().ends());
+      client.ask(ProxyFixture.get("t2", ""));
+      assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+      assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  @Test
+  void closesIdleConnectionBeforeUpstreamDoes() throws Exception {
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"));
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t1", ""));
+      FakeServer.Connection connection = upstream.connections.take();
+      upstream.requests.take();
+      assertNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.MILLISECONDS));
+      assertTrue(connection.awaitEnd(), "closed without the upstream's doing");
+    }
+  }
+
+  /** The upstream may be closing such a connection at that moment. */
+  @Test
+  void doesNotReuseConnectionPastIdleTimeoutBetweenSweeps() throws Exception {
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"))) {
+      String list = SingleEndpoint.list(upstream.address());
+      String text =
+          ProxyFixture.text(SingleEndpoint.NO_DISCOVERY, list, "on_request", 200, 1024, "")
+              .replace("\"max-attempts\"", "\"conn-idle-ns\":40000000,\"max-attempts\"");
+      BalancerConfig config = BalancerConfig.parse(text, Map.of());
+      try (ProxyFixture proxy = new ProxyFixture(config, engine);
+          Client client = proxy.client()) {
+        for (int i = 0; i < 10; i++) {
+          String response = client.ask(ProxyFixture.get("t" + i, ""));
+          assertTrue(response.startsWith("HTTP/1.1 200 "));
+          Thread.sleep(45); // The time itself is what is tested; about every fifth meets a sweep.
+        }
+      }
+      assertEquals(10, upstream.connections.size());
+    }
+  }
+
+  /** With an upstream that drops its connections once they are idle most requests are served. */
+  @Test
+  void stopsReusingConnectionsThatBreakOnReuse() throws Exception {
+    int requests = 400;
+    int broken = 0;
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  connection.write(FakeServer.ok("ok"));
+                  connection.next();
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      for (int i = 0; i < requests; i++) {
+        String response = client.ask(ProxyFixture.get("t" + i, ""));
+        broken += response.startsWith("HTTP/1.1 200 ") ? 0 : 1;
+      }
+    }
+    assertTrue(broken < requests / 10, broken + " of " + requests + " broke");
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/HealthCheckTest.java
@@ -0,0 +1,51 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.Action.CheckHealth;
+import loadbalancer.decision.api.Action.CloseIdleConnections;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.HealthCheckResult;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Health checks use the connections of the pool. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class HealthCheckTest {
+
+  @Test
+  void sendsHealthCheckWithoutTraceIdAndClosesItsConnectionOnAction() throws Exception {
+    long endpoint = DiscoveryMessages.number("s-1");
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, out) -> {
+              if (event instanceof RequestArrived request) {
+                out.accept(new CheckHealth(endpoint));
+                out.accept(new CloseIdleConnections(endpoint));
+                out.accept(new FailRequest(request.requestId()));
+              }
+            });
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"));
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      assertEquals(AttemptStatus.SUCCESS, engine.next(HealthCheckResult.class).status());
+      String healthCheck = upstream.requests.take();
+      assertTrue(
+          healthCheck.startsWith("GET /healthz HTTP/1.1\r\n")
+              && !healthCheck.contains("X-Trace-Id"),
+          healthCheck);
+      client.ask(ProxyFixture.get("t2", ""));
+      assertTrue(upstream.connections.take().awaitEnd(), "closed by the second action");
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/ResponseParsingTest.java
@@ -0,0 +1,122 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What responses of upstreams mean for the attempt; {@code ~} stands for a line's end. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class ResponseParsingTest {
+
+  private final ScriptedEngine engine = new ScriptedEngine(SingleEndpoint.LONG_TIMEOUT_NANOS);
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "HTTP/1.1 200 OK~Content-Length: 2~~ok | SUCCESS",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ok~0~~ | SUCCESS",
+        "HTTP/1.1 100 Continue~~HTTP/1.1 200 OK~Content-Length: 2~~ok | SUCCESS",
+        "HTTP/1.1 500 Internal Server Error~Content-Length: 0~~ | ERROR",
+        "HTTP/1.1 503 Service Unavailable~Content-Length: 0~~ | ERROR",
+        "HTTP/1.1 503 Service Unavailable~X-Never-Ran: 1~Content-Length: 0~~ | REJECTED",
+        "HTTP/1.1 504 Gateway Timeout~X-Never-Ran: 1~Content-Length: 0~~ | REJECTED",
+        "HTTP/1.1 200 OK~Content-Length: 20~~cut short | RESET",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~9~cut | RESET",
+        "HTTP/1.1 200 OK~~no length | RESET",
+        "HTTP/1.1 200 OK~no colon here~Content-Length: 2~~ok | RESET",
+        "HTTP/1.1 200 OK~Name : 1~Content-Length: 2~~ok | RESET",
+        "HTTP/1.1 200 OK~Content-Length: 2~Content-Length: 3~~ok | RESET",
+        "HTTP/1.1 200 OK~Content-Length: -2~~ok | RESET",
+        "HTTP/1.1 200 OK~Content-Length: 2~Transfer-Encoding: chunked~~2~ok~0~~ | RESET",
+        "HTTP/1.1 200 OK~Content-Length: 65537~~ | RESET",
+        "garbage~~ | RESET",
+        "'' | RESET"
+      })
+  void mapsResponseToAttemptStatus(String response, AttemptStatus status) throws Exception {
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  connection.write(response.replace("~", "\r\n"));
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      String received = client.ask(ProxyFixture.get("t", ""));
+      AttemptEnded ended = engine.next(AttemptEnded.class);
+      assertEquals(status, ended.status());
+      assertEquals(status == AttemptStatus.SUCCESS, ended.finished());
+      boolean expected =
+          status == AttemptStatus.SUCCESS
+              ? received.startsWith("HTTP/1.1 200 ") && received.endsWith("\r\n\r\nok")
+              : received.startsWith("HTTP/1.1 502 ");
+      assertTrue(expected, received);
+    }
+  }
+
+  /** The client would otherwise wait until its deadline: the connection stays open. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "noise without a line's end",
+        "HTTP/1.1 200 OK~X-Endless: ",
+        "HTTP/1.1 200 OK~Content-Length: 20~~short",
+        "HTTP/1.1 200 OK~Content-Length: 3000000000~~and it keeps coming",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~short",
+        "HTTP/1.1 500 Oh~~no length and no end"
+      })
+  void resetsAttemptWhenResponseDoesNotComplete(String response) throws Exception {
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  connection.write(response.replace("~", "\r\n"));
+                  new CountDownLatch(1).await();
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 502 "));
+      assertEquals(AttemptStatus.RESET, engine.next(AttemptEnded.class).status());
+      assertTrue(upstream.connections.take().ends(), "its connection is closed");
+    }
+  }
+
+  @Test
+  void resetsAttemptWhenInformationalResponsesDoNotEnd() throws Exception {
+    String response = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100);
+    try (FakeServer upstream = FakeServer.answering(response);
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      assertEquals(AttemptStatus.RESET, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  @Test
+  void passesLoadReportToDecisionEngine() throws Exception {
+    String response =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+            + "Endpoint-Load-Metrics: TEXT inflight=7, queue=odd, util=0.61\r\n\r\n";
+    try (FakeServer upstream = FakeServer.answering(response);
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.ask(ProxyFixture.get("t", ""));
+      assertEquals(
+          Map.of("inflight", 7.0, "util", 0.61), engine.next(AttemptEnded.class).loadReport());
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/SingleEndpoint.java
@@ -0,0 +1,38 @@
+package loadbalancer.upstream;
+
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.testing.ProxyFixture;
+
+/** Configurations whose endpoint list names one endpoint, s-1. */
+final class SingleEndpoint {
+
+  /** An address on which no discovery listens. */
+  static final String NO_DISCOVERY = "127.0.0.1:1";
+
+  /** An attempt timeout that no test reaches. */
+  static final long LONG_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  private SingleEndpoint() {}
+
+  static BalancerConfig config(String upstream) throws IOException {
+    return config(NO_DISCOVERY, upstream);
+  }
+
+  static BalancerConfig config(String discovery, String upstream) throws IOException {
+    return ProxyFixture.config(discovery, list(upstream));
+  }
+
+  /** With a connect timeout that no test reaches. */
+  static BalancerConfig configWithLongConnectTimeout(String discovery, String upstream)
+      throws IOException {
+    int connectTimeoutMillis = 1000 * ProxyFixture.TIMEOUT_SECONDS;
+    return ProxyFixture.config(
+        discovery, list(upstream), "on_request", connectTimeoutMillis, 1024, "");
+  }
+
+  static String list(String upstream) {
+    return ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream, "ready"));
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/upstream/WithdrawnAttemptTest.java
@@ -0,0 +1,217 @@
+package loadbalancer.upstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.Action.CancelAttempt;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.Action.WatchEndpoints;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.ClientDisconnected;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.UnresponsiveUpstream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Attempts that are cancelled, or whose reason is gone before they are written. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class WithdrawnAttemptTest {
+
+  private static final long ENDPOINT = DiscoveryMessages.number("s-1");
+
+  private static String drainingList(String upstream) {
+    return ProxyFixture.list(2, false, ProxyFixture.member("s-1", upstream, "draining"));
+  }
+
+  /** Starts an attempt for each request, and cancels it when the client disconnects. */
+  private static ScriptedEngine cancellingEngine() {
+    return new ScriptedEngine(
+        (event, out) -> {
+          if (event instanceof RequestArrived request) {
+            out.accept(new StartAttempt(request.requestId(), ENDPOINT, 0));
+          } else if (event instanceof ClientDisconnected disconnected) {
+            out.accept(new CancelAttempt(disconnected.requestId(), 0));
+          }
+        });
+  }
+
+  @Test
+  void doesNotWriteConnectingAttemptOnceEndpointDrains() throws Exception {
+    CountDownLatch drain = new CountDownLatch(1);
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream();
+        FakeServer discovery =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  drain.await();
+                  connection.write(DiscoveryMessages.watch(drainingList(upstream.address())));
+                  connection.next();
+                })) {
+      ScriptedEngine engine =
+          new ScriptedEngine(
+              (event, out) -> {
+                if (event instanceof EndpointListUpdate update
+                    && update.kind() == UpdateKind.CACHED) {
+                  out.accept(new WatchEndpoints(true));
+                } else if (event instanceof RequestArrived request) {
+                  out.accept(new StartAttempt(request.requestId(), ENDPOINT, 0));
+                } else if (event instanceof AttemptEnded ended) {
+                  out.accept(new FailRequest(ended.requestId()));
+                }
+              });
+      BalancerConfig config =
+          SingleEndpoint.configWithLongConnectTimeout(discovery.address(), upstream.address());
+      try (ProxyFixture proxy = new ProxyFixture(config, engine);
+          Client client = proxy.client()) {
+        client.write(ProxyFixture.get("t", ""));
+        engine.next(RequestArrived.class);
+        drain.countDown();
+        assertEquals(AttemptStatus.NOT_SENT, engine.next(AttemptEnded.class).status());
+      }
+    }
+  }
+
+  @Test
+  void doesNotWriteConnectingAttemptOnceClientHasDisconnected() throws Exception {
+    ScriptedEngine engine = cancellingEngine();
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream();
+        ProxyFixture proxy =
+            new ProxyFixture(
+                SingleEndpoint.configWithLongConnectTimeout(
+                    SingleEndpoint.NO_DISCOVERY, upstream.address()),
+                engine)) {
+      try (Client client = proxy.client()) {
+        client.write(ProxyFixture.get("t", ""));
+        engine.next(RequestArrived.class);
+      }
+      engine.next(ClientDisconnected.class);
+      assertEquals(AttemptStatus.NOT_SENT, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  /**
+   * Upstreams drop the retry of a request with an idempotency key for a time, and it may be retried
+   * within that time only. The retry is decided within it, and its connection established after it.
+   */
+  @Test
+  void doesNotWriteRetryWhoseConnectionIsEstablishedAfterDedupWindow() throws Exception {
+    try (FakeServer breaking = new FakeServer(FakeServer.Connection::next);
+        UnresponsiveUpstream late = new UnresponsiveUpstream()) {
+      ScriptedEngine engine =
+          new ScriptedEngine(
+              (event, out) -> {
+                if (event instanceof RequestArrived request) {
+                  out.accept(new StartAttempt(request.requestId(), ENDPOINT, 0));
+                } else if (event instanceof AttemptEnded ended && ended.attempt() == 0) {
+                  long other = DiscoveryMessages.number("s-2");
+                  out.accept(new StartAttempt(ended.requestId(), other, 0));
+                } else if (event instanceof AttemptEnded ended) {
+                  out.accept(new FailRequest(ended.requestId()));
+                }
+              });
+      String list =
+          ProxyFixture.list(
+              1,
+              true,
+              ProxyFixture.member("s-1", breaking.address(), "ready"),
+              ProxyFixture.member("s-2", late.address(), "ready"));
+      int connectTimeoutMillis = 1000 * ProxyFixture.TIMEOUT_SECONDS;
+      String text =
+          ProxyFixture.text(
+              SingleEndpoint.NO_DISCOVERY, list, "on_request", connectTimeoutMillis, 1024, "");
+      BalancerConfig config =
+          BalancerConfig.parse(
+              text.replace("\"window-ns\":2000000000", "\"window-ns\":300000000"), Map.of());
+      try (ProxyFixture proxy = new ProxyFixture(config, engine);
+          Client client = proxy.client()) {
+        client.write(ProxyFixture.post("t", "Idempotency-Key: k\r\n", "body"));
+        assertEquals(AttemptStatus.RESET, engine.next(AttemptEnded.class).status());
+        Thread.sleep(400); // The window is over before the connection can be established.
+        try (Socket connection = late.accept()) {
+          assertEquals(-1, connection.getInputStream().read(), "nothing was written");
+        }
+        assertEquals(AttemptStatus.NOT_SENT, engine.next(AttemptEnded.class).status());
+        assertTrue(client.answer().startsWith("HTTP/1.1 502 "));
+      }
+    }
+  }
+
+  /**
+   * An endpoint list is applied before the engine is notified of it: what the engine decides in
+   * between is not carried out.
+   */
+  @Test
+  void doesNotWriteAttemptDecidedBeforeEngineIsNotifiedOfDrain() throws Exception {
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"));
+        FakeServer discovery =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  connection.write(DiscoveryMessages.watch(drainingList(upstream.address())));
+                  connection.ends();
+                })) {
+      List<String> queued = new ArrayList<>();
+      ScriptedEngine engine =
+          new ScriptedEngine(
+              (event, out) -> {
+                if (event instanceof RequestArrived request) {
+                  queued.add(request.requestId());
+                  out.accept(new WatchEndpoints(true));
+                } else if (event instanceof EndpointListUpdate update
+                    && update.kind() == UpdateKind.DELTA) {
+                  out.accept(new StartAttempt(queued.get(0), ENDPOINT, 0));
+                } else if (event instanceof AttemptEnded ended) {
+                  out.accept(new FailRequest(ended.requestId()));
+                }
+              });
+      BalancerConfig config = SingleEndpoint.config(discovery.address(), upstream.address());
+      try (ProxyFixture proxy = new ProxyFixture(config, engine);
+          Client client = proxy.client()) {
+        assertTrue(client.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 502 "));
+        assertEquals(AttemptStatus.NOT_SENT, engine.next(AttemptEnded.class).status());
+        assertNull(upstream.requests.poll());
+      }
+    }
+  }
+
+  @Test
+  void cancellationClosesConnection() throws Exception {
+    ScriptedEngine engine = cancellingEngine();
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  connection.next();
+                  new CountDownLatch(1).await(); // Neither responds nor closes: only the proxy can.
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine)) {
+      FakeServer.Connection connection;
+      try (Client client = proxy.client()) {
+        client.write(ProxyFixture.get("t", ""));
+        assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+        connection = upstream.connections.take();
+        // A reset: a client that has only ended its sending may still be listening.
+        client.socket.setSoLinger(true, 0);
+      }
+      assertEquals(AttemptStatus.CANCELLED, engine.next(AttemptEnded.class).status());
+      assertTrue(connection.ends());
+    }
+  }
+}
