Share the delegation of I/O handlers and name what the net package does

DescriptorBudget says which descriptors are set aside, which are shared, and who counts them. Comments state reasons and units in ordinary terms. Behaviour is unchanged.

--- a/src/main/java/loadbalancer/net/DescriptorBudget.java
+++ b/src/main/java/loadbalancer/net/DescriptorBudget.java
@@ -2,45 +2,64 @@
 
 import io.netty.channel.Channel;
 
-/** Counts the open sockets against what the process may hold. */
+/**
+ * Divides the file descriptors of the process. The process's own and a spare part are set aside;
+ * the rest is shared by connections of clients, up to {@link #clientLimit()}, and connections to
+ * upstreams. Both are counted by {@link #register}; listeners, discovery and gossip are not, they
+ * are part of what is set aside. Confined to the event loop.
+ */
 public final class DescriptorBudget {
 
-  /** Descriptors of the process itself: jar, standard streams, selector, listeners, discovery before and after a move. */
-  private static final int OWN = 24;
   /**
-   * Kept free: up to 16 connections are accepted before any is closed for them, and a closed one keeps its descriptor until
-   * the next look at all sockets. Without one the acceptor would rest for a second.
+   * Descriptors of the process itself: jar, standard streams, selector, listeners, gossip, and
+   * discovery before and after a reload.
    */
-  private static final int SPARE = 32;
-  /** The part of the rest that clients may hold while others could go: each request needs one more to an upstream. */
+  private static final int PROCESS_DESCRIPTORS = 24;
+
+  /**
+   * Descriptors that stay free. Up to 16 connections are accepted before any is closed in exchange,
+   * and a closed one keeps its descriptor until the selector has run again. Without a free one the
+   * acceptor would pause for a second.
+   */
+  private static final int SPARE_DESCRIPTORS = 32;
+
+  /** The clients' part of the shared descriptors: each request needs one more for its upstream. */
   private static final double CLIENT_PART = 0.5;
 
   private final int limit;
-  private final int most;
+  private final int shared;
   private int open;
 
+  /**
+   * Creates a budget.
+   *
+   * @param limit how many descriptors the process may have open
+   */
   public DescriptorBudget(int limit) {
     this.limit = limit;
-    most = limit - OWN - SPARE;
+    shared = limit - PROCESS_DESCRIPTORS - SPARE_DESCRIPTORS;
   }
 
+  /** Counts a connection until it is closed. */
   public void register(Channel channel) {
     open++;
-    channel.closeFuture().addListener(f -> open--);
+    channel.closeFuture().addListener(future -> open--);
   }
 
-  /** Whether one more may be opened. */
+  /** Returns whether one more connection may be opened. */
   public boolean hasRoom() {
-    return open < most;
+    return open < shared;
   }
 
-  /** Whether the spare ones are nearly gone as well. */
+  /** Returns whether more than half of the spare descriptors are in use as well. */
   public boolean isNearlyExhausted() {
-    return open > limit - OWN - SPARE / 2;
+    return open > limit - PROCESS_DESCRIPTORS - SPARE_DESCRIPTORS / 2;
   }
 
-  /** How many connections of clients may be kept. */
+  /**
+   * Returns the number of client connections from which on an idle one is closed for each new one.
+   */
   public int clientLimit() {
-    return (int) (most * CLIENT_PART);
+    return (int) (shared * CLIENT_PART);
   }
 }
--- a/src/main/java/loadbalancer/net/RoundingIoHandler.java
+++ b/src/main/java/loadbalancer/net/RoundingIoHandler.java
@@ -1,41 +1,47 @@
 package loadbalancer.net;
 
-import io.netty.channel.IoHandle;
 import io.netty.channel.IoHandler;
 import io.netty.channel.IoHandlerContext;
 import io.netty.channel.IoHandlerFactory;
-import io.netty.channel.IoRegistration;
 import io.netty.channel.nio.NioIoHandler;
 import java.util.concurrent.TimeUnit;
 
 /**
- * An I/O handler that sleeps until the next timer is due. The selector waits in whole milliseconds, and Netty's handler takes the
- * nearest: with less than half of one left it does not sleep but looks at the sockets again and again, for as long as that lasts.
- * Guards the processor time, of which a balancer has a part of a core. A timer comes up to a millisecond late for it.
+ * An I/O handler that rounds the selector's timeout up to whole milliseconds. The selector waits in
+ * whole milliseconds, and Netty's handler rounds to the nearest: with less than half of one left it
+ * polls the sockets again and again until the timer is due, which wastes the fraction of a core
+ * that a proxy has. In exchange a timer fires up to a millisecond late.
  */
-public final class RoundingIoHandler implements IoHandler {
+public final class RoundingIoHandler extends ForwardingIoHandler {
 
-  private static final long MILLI = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long MILLISECOND_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
-  private final IoHandler handler;
-  private Patience context;
+  private RoundingContext context;
 
-  private RoundingIoHandler(IoHandler handler) {
-    this.handler = handler;
+  private RoundingIoHandler(IoHandler delegate) {
+    super(delegate);
   }
 
-  /** Makes handlers that wait on a selector. */
+  /** Returns a factory of such handlers around NIO selectors. */
   public static IoHandlerFactory newFactory() {
     return around(NioIoHandler.newFactory());
   }
 
-  /** Makes such handlers around those of another factory. */
+  /** Returns a factory of such handlers around those of another factory. */
   public static IoHandlerFactory around(IoHandlerFactory factory) {
     return executor -> new RoundingIoHandler(factory.newHandler(executor));
   }
 
-  /** The loop's own view of its timers, with the time to the next one rounded up. */
-  private record Patience(IoHandlerContext loop) implements IoHandlerContext {
+  @Override
+  public int run(IoHandlerContext loop) {
+    if (context == null || context.loop != loop) {
+      context = new RoundingContext(loop);
+    }
+    return super.run(context);
+  }
+
+  /** The event loop's context with the time to the next timer rounded up. */
+  private record RoundingContext(IoHandlerContext loop) implements IoHandlerContext {
 
     @Override
     public boolean canBlock() {
@@ -43,9 +49,12 @@
     }
 
     @Override
-    public long delayNanos(long now) {
-      long delay = loop.delayNanos(now);
-      return delay <= 0 || delay > Long.MAX_VALUE - MILLI ? delay : (delay + MILLI - 1) / MILLI * MILLI;
+    public long delayNanos(long currentTimeNanos) {
+      long delay = loop.delayNanos(currentTimeNanos);
+      if (delay <= 0 || delay > Long.MAX_VALUE - MILLISECOND_NANOS) {
+        return delay;
+      }
+      return (delay + MILLISECOND_NANOS - 1) / MILLISECOND_NANOS * MILLISECOND_NANOS;
     }
 
     @Override
@@ -54,8 +63,8 @@
     }
 
     @Override
-    public void reportActiveIoTime(long nanos) {
-      loop.reportActiveIoTime(nanos);
+    public void reportActiveIoTime(long activeNanos) {
+      loop.reportActiveIoTime(activeNanos);
     }
 
     @Override
@@ -63,42 +72,4 @@
       return loop.shouldReportActiveIoTime();
     }
   }
-
-  @Override
-  public int run(IoHandlerContext loop) {
-    if (context == null || context.loop != loop) {
-      context = new Patience(loop);
-    }
-    return handler.run(context);
-  }
-
-  @Override
-  public void initialize() {
-    handler.initialize();
-  }
-
-  @Override
-  public void prepareToDestroy() {
-    handler.prepareToDestroy();
-  }
-
-  @Override
-  public void destroy() {
-    handler.destroy();
-  }
-
-  @Override
-  public IoRegistration register(IoHandle handle) throws Exception {
-    return handler.register(handle);
-  }
-
-  @Override
-  public void wakeup() {
-    handler.wakeup();
-  }
-
-  @Override
-  public boolean isCompatible(Class<? extends IoHandle> type) {
-    return handler.isCompatible(type);
-  }
 }
--- a/src/main/java/loadbalancer/net/SocketAddresses.java
+++ b/src/main/java/loadbalancer/net/SocketAddresses.java
@@ -12,21 +12,27 @@
   private SocketAddresses() {}
 
   /**
-   * Parses a numeric address such as 10.0.0.4:8000 or [::1]:8000; names are not looked up, as there is no DNS.
+   * Parses a numeric address such as 10.0.0.4:8000 or [::1]:8000. Names are not resolved: there is
+   * no DNS where the proxy runs, and a lookup would block the event loop.
    *
-   * @param field what error messages call the address
-   * @throws MalformedInputException naming the field and the text
+   * @param field what the error message calls the address
+   * @param text the address
+   * @throws MalformedInputException if the text is no such address, naming the field and the text
    */
   public static InetSocketAddress parse(String field, String text) {
     int colon = text.lastIndexOf(':');
-    byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-    try {
-      if (host != null) {
-        return new InetSocketAddress(InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
+    if (colon >= 0) {
+      byte[] host = NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+      try {
+        if (host != null) {
+          int port = Integer.parseInt(text.substring(colon + 1));
+          return new InetSocketAddress(InetAddress.getByAddress(host), port);
+        }
+      } catch (IOException | IllegalArgumentException e) {
+        // A port that is no number or out of range is reported below, like an address without one.
       }
-    } catch (IOException | IllegalArgumentException e) {
-      // Reported below, like an address without a port.
     }
-    throw new MalformedInputException("field " + field + ": expected an address and a port, got \"" + text + "\"");
+    throw new MalformedInputException(
+        "field " + field + ": expected an address and a port, got \"" + text + "\"");
   }
 }
