Describe the gossip channel and the shared HTTP names

GossipChannel's parameters and fields say what they are (own index, addresses of all instances, broadcast address), and sending to one and to all are methods of their own. A datagram that fails is logged as gossip_datagram_failed.

--- a/src/main/java/loadbalancer/gossip/GossipChannel.java
+++ b/src/main/java/loadbalancer/gossip/GossipChannel.java
@@ -15,44 +15,49 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Datagrams from and to the other balancers: late, lost or sound, never answered for. */
+/** Exchanges gossip with the other instances as UDP datagrams, one message each. */
 public final class GossipChannel implements GossipSender {
 
   private static final Logger LOG = Logger.getLogger(GossipChannel.class.getName());
 
-  private final int me;
-  private final List<InetSocketAddress> peers;
-  private final InetSocketAddress all;
+  private final int instanceIndex;
+  private final List<InetSocketAddress> instances;
+  private final InetSocketAddress broadcastAddress;
+
+  /** The bound socket; null until {@link #listen}. */
   private Channel channel;
 
-  public GossipChannel(int me, List<InetSocketAddress> peers, InetSocketAddress all) {
-    this.me = me;
-    this.peers = peers;
-    this.all = all;
+  /**
+   * Creates a channel that is not bound yet.
+   *
+   * @param instanceIndex the index of this instance
+   * @param instances the addresses of all instances, this one included, by index
+   * @param broadcastAddress where a message to all others is sent once; null to send it to each
+   */
+  public GossipChannel(
+      int instanceIndex, List<InetSocketAddress> instances, InetSocketAddress broadcastAddress) {
+    this.instanceIndex = instanceIndex;
+    this.instances = instances;
+    this.broadcastAddress = broadcastAddress;
   }
 
-  /** Binds, and hands what comes from a known peer to the node. */
-  public ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, GossipReceiver receiver) {
-    ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
-        .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
-          @Override
-          protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            int from = peers.indexOf(packet.sender());
-            if (from >= 0 && from != me) {
-              receiver.receive(from, ByteBufUtil.getBytes(packet.content()));
-            }
-          }
-
-          @Override
-          public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            LOG.log(Level.FINE, "datagram", cause);
-          }
-        }).bind(address);
+  /**
+   * Binds the socket and hands every message of another instance to the receiver; datagrams from
+   * unknown addresses are ignored.
+   */
+  public ChannelFuture listen(
+      EventLoopGroup group, InetSocketAddress address, GossipReceiver receiver) {
+    ChannelFuture bound =
+        new Bootstrap()
+            .group(group)
+            .channel(NioDatagramChannel.class)
+            .handler(new DatagramHandler(receiver))
+            .bind(address);
     channel = bound.channel();
     return bound;
   }
 
-  /** The port bound, for a balancer that let the system choose. */
+  /** Returns the bound address, with the port that the system has chosen where none was given. */
   public InetSocketAddress address() {
     return (InetSocketAddress) channel.localAddress();
   }
@@ -62,17 +67,21 @@
     if (channel == null) {
       return;
     }
-    if (to >= 0) {
-      if (to < peers.size()) {
-        sendTo(peers.get(to), data);
-      }
-    } else if (all != null) {
-      sendTo(all, data);
-    } else {
-      for (int i = 0; i < peers.size(); i++) {
-        if (i != me) {
-          sendTo(peers.get(i), data);
-        }
+    if (to < 0) {
+      sendToAll(data);
+    } else if (to < instances.size()) {
+      sendTo(instances.get(to), data);
+    }
+  }
+
+  private void sendToAll(byte[] data) {
+    if (broadcastAddress != null) {
+      sendTo(broadcastAddress, data);
+      return;
+    }
+    for (int i = 0; i < instances.size(); i++) {
+      if (i != instanceIndex) {
+        sendTo(instances.get(i), data);
       }
     }
   }
@@ -80,4 +89,26 @@
   private void sendTo(InetSocketAddress address, byte[] data) {
     channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(data), address));
   }
+
+  private final class DatagramHandler extends SimpleChannelInboundHandler<DatagramPacket> {
+
+    private final GossipReceiver receiver;
+
+    DatagramHandler(GossipReceiver receiver) {
+      this.receiver = receiver;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+      int from = instances.indexOf(packet.sender());
+      if (from >= 0 && from != instanceIndex) {
+        receiver.receive(from, ByteBufUtil.getBytes(packet.content()));
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      LOG.log(Level.FINE, "gossip_datagram_failed", cause);
+    }
+  }
 }
--- a/src/main/java/loadbalancer/gossip/GossipReceiver.java
+++ b/src/main/java/loadbalancer/gossip/GossipReceiver.java
@@ -1,8 +1,13 @@
 package loadbalancer.gossip;
 
-/** Is handed the messages that come from other instances of the group. */
+/** Receives the messages of other instances of the group, on the event loop. */
 public interface GossipReceiver {
 
-  /** A message from the instance with this index has arrived. */
+  /**
+   * Handles a message.
+   *
+   * @param from the index of the instance that sent it
+   * @param data its contents, which become the receiver's
+   */
   void receive(int from, byte[] data);
 }
--- a/src/main/java/loadbalancer/gossip/GossipSender.java
+++ b/src/main/java/loadbalancer/gossip/GossipSender.java
@@ -1,8 +1,14 @@
 package loadbalancer.gossip;
 
-/** Sends messages to other instances of the group. */
+/** Sends messages to other instances of the group, without any guarantee of delivery. */
 public interface GossipSender {
 
-  /** Sends a message to one instance, or to all others where {@code to} is -1. */
+  /**
+   * Sends a message.
+   *
+   * @param to the index of the receiving instance, or -1 for all others; an index that no instance
+   *     has is ignored
+   * @param data the contents, which the caller must not change afterwards
+   */
   void send(int to, byte[] data);
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/gossip/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Datagrams between the instances of a group. Delivery is best effort: a message may be late, lost
+ * or duplicated, and nothing is acknowledged. The contents belong to the decision engine.
+ */
+package loadbalancer.gossip;
--- a/src/main/java/loadbalancer/http/HttpProtocol.java
+++ b/src/main/java/loadbalancer/http/HttpProtocol.java
@@ -18,16 +18,16 @@
   /** Names the tenant, as in the settings. */
   public static final String TENANT_HEADER = "X-Customer";
 
-  /** Milliseconds, whole, for which the sender goes on waiting for the response. */
+  /** How long the sender goes on waiting for the response, in whole milliseconds. */
   public static final String TIMEOUT_HEADER = "X-Expires-In-Ms";
 
   /** Set to 1 on a client's retry. */
   public static final String RETRY_HEADER = "X-Second-Try";
 
-  /** Microseconds, whole, of work that the request is expected to cost. */
+  /** The work that the request is expected to cost, in whole microseconds. */
   public static final String WORK_HINT_HEADER = "X-Size-Hint";
 
-  /** Lets upstreams drop the repeat of a request that has run. */
+  /** Lets upstreams drop the retry of a request that has run. */
   public static final String IDEMPOTENCY_KEY_HEADER = "Idempotency-Key";
 
   /** Set to 1 by an upstream that rejected a request without running it. */
--- /dev/null
+++ b/src/main/java/loadbalancer/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP vocabulary that clients, this proxy and upstreams share. */
+package loadbalancer.http;
