Cut the connection pool into the pool, idle connections and one connection

Now ConnectionPool starts and cancels calls and opens connections; IdleConnections owns the idle ones and picks which may be reused, by IdleReusePolicy and SecondResponseGuard; UpstreamConnection owns one connection and the call on it; ResponseStartCheck, ResponseFramingCheck, ResponseAggregator and ResponseClassifier each do one step of the response. Constants are with the class that uses them. The state of UpstreamCall is private, and LoadReport is a record of the reported metrics where it was a map.

--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -378,7 +378,7 @@
     attempt.status = status;
     attempt.latencyNanos = latency;
     trail.attemptEnded(status);
-    Map<String, Double> load = loadReports && answer != null ? LoadReport.parse(answer.headers()) : Map.of();
+    Map<String, Double> load = loadReports && answer != null ? LoadReport.parse(answer.headers()).metrics() : Map.of();
     FullHttpResponse served = status == AttemptStatus.SUCCESS ? answer.retain() : null;
     enqueue(() -> {
       x.attemptsInFlight--;
@@ -400,7 +400,7 @@
     long sentAt = clock.nowNanos();
     UpstreamCall call = new UpstreamCall(upstream, () -> true, (status, answer) -> {
       long latency = clock.nowNanos() - sentAt;
-      Map<String, Double> load = loadReports && answer != null ? LoadReport.parse(answer.headers()) : Map.of();
+      Map<String, Double> load = loadReports && answer != null ? LoadReport.parse(answer.headers()).metrics() : Map.of();
       enqueue(() -> new HealthCheckResult(upstream, status, latency, load));
     });
     SocketAddress address = fleet.address(upstream);
--- /dev/null
+++ b/src/main/java/loadbalancer/upstream/IdleConnections.java
@@ -0,0 +1,152 @@
+package loadbalancer.upstream;
+
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongPredicate;
+
+/**
+ * The idle connections by endpoint, and the decision which may carry another call. Owns what has
+ * been learned of all connections: the age at which they break and how late second responses come.
+ * Confined to the event loop.
+ */
+final class IdleConnections {
+
+  /**
+   * The part of the upstreams' idle timeout after which a connection is closed here. A request that
+   * crosses the upstream's own close on the wire would end as a reset.
+   */
+  private static final double IDLE_TIMEOUT_PART = 0.7;
+
+  private final long idleTimeoutNanos;
+  private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
+  private final SecondResponseGuard secondResponseGuard = new SecondResponseGuard();
+
+  /** The connections of each endpoint, most recently used first. */
+  private final Map<Long, ArrayDeque<UpstreamConnection>> byEndpoint = new HashMap<>();
+
+  /**
+   * Creates an empty set.
+   *
+   * @param upstreamIdleNanos the time after which upstreams close idle connections
+   */
+  IdleConnections(long upstreamIdleNanos) {
+    idleTimeoutNanos = (long) (upstreamIdleNanos * IDLE_TIMEOUT_PART);
+  }
+
+  /** Adds a connection that has become idle. */
+  void add(UpstreamConnection connection) {
+    byEndpoint.computeIfAbsent(connection.endpointId(), id -> new ArrayDeque<>()).push(connection);
+  }
+
+  /** Removes a connection, if it is idle, without closing it. */
+  void remove(UpstreamConnection connection) {
+    ArrayDeque<UpstreamConnection> connections = byEndpoint.get(connection.endpointId());
+    if (connections != null) {
+      connections.remove(connection);
+    }
+  }
+
+  /**
+   * Removes and returns a connection that may carry another call, or null. Those found unusable on
+   * the way are closed; those that have been idle for less than the quiet period stay.
+   */
+  UpstreamConnection acquire(long endpointId, SocketAddress address) {
+    ArrayDeque<UpstreamConnection> connections = byEndpoint.get(endpointId);
+    if (connections == null) {
+      return null;
+    }
+    long now = System.nanoTime();
+    for (UpstreamConnection connection : List.copyOf(connections)) {
+      long idleNanos = connection.idleNanos(now);
+      if (secondResponseGuard.isQuietPeriodOver(idleNanos)) {
+        connections.remove(connection);
+        if (isReusable(connection, address, now, idleNanos)) {
+          connection.markReused(idleNanos);
+          return connection;
+        }
+        connection.close();
+      }
+    }
+    return null;
+  }
+
+  /**
+   * Checks the age too, although old connections are closed by {@link #closeExpired()}: that runs
+   * seldom against short idle timeouts, and late when the event loop lags.
+   */
+  private boolean isReusable(
+      UpstreamConnection connection, SocketAddress address, long now, long idleNanos) {
+    return idleNanos <= idleTimeoutNanos
+        && connection.isConnectedTo(address)
+        && reusePolicy.allowsReuse(now, idleNanos)
+        && connection.hasNothingUnread();
+  }
+
+  /** Records whether a connection that was reused after an idle time has answered or has broken. */
+  void recordReuse(long idleNanos, boolean broken) {
+    reusePolicy.recordReuse(System.nanoTime(), idleNanos, broken);
+  }
+
+  /** Records that bytes have arrived on a connection that has no call. */
+  void recordUnexpectedBytes(UpstreamConnection connection) {
+    ArrayDeque<UpstreamConnection> connections = byEndpoint.get(connection.endpointId());
+    if (connections != null && connections.contains(connection)) {
+      secondResponseGuard.recordSecondResponse(connection.idleNanos(System.nanoTime()));
+    }
+  }
+
+  /** Closes the connections that have been idle for too long. */
+  void closeExpired() {
+    long now = System.nanoTime();
+    Iterator<ArrayDeque<UpstreamConnection>> endpoints = byEndpoint.values().iterator();
+    while (endpoints.hasNext()) {
+      ArrayDeque<UpstreamConnection> connections = endpoints.next();
+      while (!connections.isEmpty() && connections.peekLast().idleNanos(now) > idleTimeoutNanos) {
+        connections.pollLast().close();
+      }
+      if (connections.isEmpty()) {
+        endpoints.remove();
+      }
+    }
+  }
+
+  /** Closes the connections to an endpoint. */
+  void closeAll(long endpointId) {
+    ArrayDeque<UpstreamConnection> connections = byEndpoint.remove(endpointId);
+    if (connections != null) {
+      connections.forEach(UpstreamConnection::close);
+    }
+  }
+
+  /** Closes the connections to the endpoints whose ids match. */
+  void closeMatching(LongPredicate endpoints) {
+    for (long endpointId : List.copyOf(byEndpoint.keySet())) {
+      if (endpoints.test(endpointId)) {
+        closeAll(endpointId);
+      }
+    }
+  }
+
+  /** Closes the connection that has been idle longest, and returns false if there is none. */
+  boolean closeLongestIdle() {
+    long now = System.nanoTime();
+    UpstreamConnection longestIdle = null;
+    for (ArrayDeque<UpstreamConnection> connections : byEndpoint.values()) {
+      UpstreamConnection candidate = connections.peekLast();
+      if (candidate != null
+          && (longestIdle == null || candidate.idleNanos(now) > longestIdle.idleNanos(now))) {
+        longestIdle = candidate;
+      }
+    }
+    if (longestIdle == null) {
+      return false;
+    }
+    byEndpoint.get(longestIdle.endpointId()).removeLast();
+    longestIdle.close();
+    return true;
+  }
+}
--- a/src/main/java/loadbalancer/upstream/IdleReusePolicy.java
+++ b/src/main/java/loadbalancer/upstream/IdleReusePolicy.java
@@ -3,49 +3,74 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * How long a connection may have stood idle and still hold, learned from those that were used again. Guards against upstreams,
- * or what lies between, that forget a connection sooner than they say and without a word: what is written to one may have run,
- * and can't always be sent again. It could do harm where connections break for another reason than their age: then new ones
- * are opened for nothing, until what was seen is forgotten.
+ * Learns from reused connections how long one may have been idle and still work. Some upstreams, or
+ * devices on the way to them, drop idle connections earlier than announced and without notice; a
+ * request written to such a connection may have run and cannot always be sent again. Where
+ * connections break for another reason than their age, the cost is that new ones are opened
+ * needlessly until the observations have decayed.
  */
 final class IdleReusePolicy {
 
-  /** Ages are told apart by their doublings from this on. */
-  private static final long LEAST_NANOS = TimeUnit.MILLISECONDS.toNanos(16);
-  private static final int AGES = 10;
-  /** An age at which more than this part of the connections broke, and no fewer than this many, is too old. */
-  private static final double MOST_BROKEN = 0.25;
-  private static final double ENOUGH = 2.5;
-  /** What was seen counts for less with time, so that longer times are tried again. */
-  private static final double KEPT_NANOS = TimeUnit.SECONDS.toNanos(20);
-
-  private final double[] held = new double[AGES];
-  private final double[] broken = new double[AGES];
-  private long forgottenAt;
-
-  /** A connection used again after standing idle for so long has answered, or broken before it did. */
-  void used(long now, long idleNanos, boolean broke) {
-    double part = Math.exp((forgottenAt - now) / KEPT_NANOS);
-    for (int i = 0; i < AGES; i++) {
-      held[i] *= part;
-      broken[i] *= part;
+  /** Idle times up to this share the first age bucket; each further bucket doubles the time. */
+  private static final long FIRST_BUCKET_NANOS = TimeUnit.MILLISECONDS.toNanos(16);
+
+  private static final int BUCKETS = 10;
+
+  /** An age is too old if more than this part of its connections broke. */
+  private static final double MAX_BROKEN_PART = 0.25;
+
+  /** Fewer broken connections than this, by their decayed count, say nothing of an age. */
+  private static final double MIN_BROKEN_COUNT = 2.5;
+
+  /**
+   * The time in which an observation decays to 1/e of its weight, in nanoseconds, so that longer
+   * idle times are tried again.
+   */
+  private static final double DECAY_NANOS = TimeUnit.SECONDS.toNanos(20);
+
+  private final double[] workingCounts = new double[BUCKETS];
+  private final double[] brokenCounts = new double[BUCKETS];
+  private long decayedAtNanos;
+
+  /**
+   * Records the outcome of a reuse.
+   *
+   * @param nowNanos a reading of {@link System#nanoTime()}
+   * @param idleNanos how long the connection had been idle
+   * @param broken whether it broke before its response began
+   */
+  void recordReuse(long nowNanos, long idleNanos, boolean broken) {
+    double decay = decayAt(nowNanos);
+    for (int i = 0; i < BUCKETS; i++) {
+      workingCounts[i] *= decay;
+      brokenCounts[i] *= decay;
     }
-    forgottenAt = now;
-    (broke ? broken : held)[age(idleNanos)]++;
+    decayedAtNanos = nowNanos;
+    double[] counts = broken ? brokenCounts : workingCounts;
+    counts[bucket(idleNanos)]++;
   }
 
-  /** Whether a connection that has stood idle for so long may be used again: it is no older than what breaks. */
-  boolean holds(long now, long idleNanos) {
-    double part = Math.exp((forgottenAt - now) / KEPT_NANOS);
-    for (int i = 0; i <= age(idleNanos); i++) {
-      if (broken[i] * part >= ENOUGH && broken[i] > MOST_BROKEN * (held[i] + broken[i])) {
+  /**
+   * Returns whether a connection of this idle time is younger than every age at which they break.
+   */
+  boolean allowsReuse(long nowNanos, long idleNanos) {
+    double decay = decayAt(nowNanos);
+    for (int i = 0; i <= bucket(idleNanos); i++) {
+      double reuses = workingCounts[i] + brokenCounts[i];
+      if (brokenCounts[i] * decay >= MIN_BROKEN_COUNT
+          && brokenCounts[i] > MAX_BROKEN_PART * reuses) {
         return false;
       }
     }
     return true;
   }
 
-  private static int age(long idleNanos) {
-    return Math.min(AGES - 1, Long.SIZE - Long.numberOfLeadingZeros(idleNanos / LEAST_NANOS));
+  private double decayAt(long nowNanos) {
+    return Math.exp((decayedAtNanos - nowNanos) / DECAY_NANOS);
+  }
+
+  private static int bucket(long idleNanos) {
+    int doublings = Long.SIZE - Long.numberOfLeadingZeros(idleNanos / FIRST_BUCKET_NANOS);
+    return Math.min(BUCKETS - 1, doublings);
   }
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/upstream/ResponseClassifier.java
@@ -0,0 +1,32 @@
+package loadbalancer.upstream;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.http.HttpProtocol;
+
+/** Maps a response to the status of its attempt. */
+final class ResponseClassifier {
+
+  private static final String SET = "1";
+
+  private ResponseClassifier() {}
+
+  /** Returns RESET for a response that could not be decoded, and otherwise goes by its status. */
+  static AttemptStatus classify(FullHttpResponse response) {
+    if (!response.decoderResult().isSuccess()) {
+      return AttemptStatus.RESET;
+    }
+    if (response.status().equals(HttpResponseStatus.OK)) {
+      return AttemptStatus.SUCCESS;
+    }
+    return isRejection(response) ? AttemptStatus.REJECTED : AttemptStatus.ERROR;
+  }
+
+  private static boolean isRejection(FullHttpResponse response) {
+    HttpResponseStatus status = response.status();
+    return (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+            || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT))
+        && SET.equals(response.headers().get(HttpProtocol.NEVER_RAN_HEADER));
+  }
+}
--- a/src/main/java/loadbalancer/upstream/UpstreamChannel.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamChannel.java
@@ -4,11 +4,14 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 
-/** A connection that can be asked whether anything has come on it which the event loop has not read yet. */
+/** A TCP connection that can be checked for data that the event loop has not read yet. */
 public final class UpstreamChannel extends NioSocketChannel {
 
-  /** Whether nothing has come, nor the end. If something has, a byte of it is lost: the connection is to be closed. */
-  boolean isQuiet() {
+  /**
+   * Returns whether the kernel holds neither bytes nor the end of the stream. The check consumes a
+   * byte if there is one, so a connection for which it returns false must be closed.
+   */
+  boolean hasNothingUnread() {
     try {
       return javaChannel().read(ByteBuffer.allocate(1)) == 0;
     } catch (IOException e) {
--- a/src/test/java/loadbalancer/upstream/IdleReusePolicyTest.java
+++ b/src/test/java/loadbalancer/upstream/IdleReusePolicyTest.java
@@ -19,28 +19,28 @@
   @Test
   void rejectsTheAgeAtWhichConnectionsBreakAndAllAbove() {
     for (int i = 0; i < 3; i++) {
-      assertTrue(policy.holds(0, OLD), "too few observations");
-      policy.used(0, OLD, true);
+      assertTrue(policy.allowsReuse(0, OLD), "too few observations");
+      policy.recordReuse(0, OLD, true);
     }
-    assertFalse(policy.holds(0, OLD));
-    assertFalse(policy.holds(0, OLDER));
-    assertTrue(policy.holds(0, YOUNG));
+    assertFalse(policy.allowsReuse(0, OLD));
+    assertFalse(policy.allowsReuse(0, OLDER));
+    assertTrue(policy.allowsReuse(0, YOUNG));
   }
 
   @Test
   void allowsAnAgeAtWhichFewConnectionsBreak() {
     for (int i = 0; i < 40; i++) {
-      policy.used(0, OLD, i % 10 == 0);
+      policy.recordReuse(0, OLD, i % 10 == 0);
     }
-    assertTrue(policy.holds(0, OLD));
+    assertTrue(policy.allowsReuse(0, OLD));
   }
 
   @Test
   void allowsReuseAgainOnceObservationsHaveDecayed() {
     for (int i = 0; i < 5; i++) {
-      policy.used(0, OLD, true);
+      policy.recordReuse(0, OLD, true);
     }
-    assertFalse(policy.holds(SECOND, OLD));
-    assertTrue(policy.holds(60 * SECOND, OLD));
+    assertFalse(policy.allowsReuse(SECOND, OLD));
+    assertTrue(policy.allowsReuse(60 * SECOND, OLD));
   }
 }
--- a/src/test/java/loadbalancer/upstream/SecondResponseTest.java
+++ b/src/test/java/loadbalancer/upstream/SecondResponseTest.java
@@ -109,9 +109,9 @@
                     .sync()
                     .channel();
         try (Socket peer = listener.accept()) {
-          assertTrue(channel.isQuiet());
+          assertTrue(channel.hasNothingUnread());
           peer.getOutputStream().write(1);
-          while (channel.isQuiet()) {
+          while (channel.hasNothingUnread()) {
             Thread.onSpinWait();
           }
         }
