--- /dev/null
+++ b/src/test/java/loadbalancer/downstream/ClientHalfCloseTest.java
@@ -0,0 +1,200 @@
+package loadbalancer.downstream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.ClientDisconnected;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.downstream.DownstreamFixture.Departure;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.UnresponsiveUpstream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Clients that end their sending and still read: nothing new is started for them. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class ClientHalfCloseTest {
+
+  private static final long ATTEMPT_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
+
+  /** The client half-closes between two attempts: the engine is not asked for the second. */
+  @Test
+  void doesNotRetryForAHalfClosedClient() throws Exception {
+    CountDownLatch signal = new CountDownLatch(1);
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, actions) -> {
+              if (event instanceof RequestArrived request) {
+                actions.accept(startAttempt(request.requestId(), "s-1"));
+              } else if (event instanceof AttemptEnded ended && !ended.finished()) {
+                actions.accept(startAttempt(ended.requestId(), "s-1"));
+              }
+            });
+    try (FakeServer upstream = failingAfter(signal);
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream), engine);
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      awaitRequest(upstream);
+      client.socket.shutdownOutput();
+      DownstreamFixture.awaitInputRead(proxy);
+      signal.countDown();
+      AttemptEnded ended = engine.next(AttemptEnded.class);
+      assertEquals(AttemptStatus.ERROR, ended.status());
+      assertTrue(ended.finished(), "no further action of the engine is expected");
+      assertTrue(client.answer().startsWith("HTTP/1.1 500 "), "it may have run");
+      assertNull(client.answer());
+      assertNull(upstream.requests.poll(), "not sent again");
+    }
+  }
+
+  private static FakeServer failingAfter(CountDownLatch signal) throws IOException {
+    return new FakeServer(
+        connection -> {
+          while (connection.next() != null) {
+            signal.await();
+            connection.write("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+          }
+        });
+  }
+
+  /** Its request was sent to an upstream before: the client may be reading for the response. */
+  @Test
+  void deliversTheResponseToAHalfClosedClient() throws Exception {
+    CountDownLatch signal = new CountDownLatch(1);
+    ScriptedEngine engine = new ScriptedEngine(ATTEMPT_TIMEOUT_NANOS);
+    try (FakeServer upstream = DownstreamFixture.respondingAfter(signal);
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream), engine);
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      awaitRequest(upstream);
+      client.socket.shutdownOutput();
+      DownstreamFixture.awaitInputRead(proxy);
+      signal.countDown();
+      String response = client.answer();
+      assertTrue(response.startsWith("HTTP/1.1 200 ") && response.endsWith("\r\n\r\nx"), response);
+      assertNull(client.answer(), "and then the connection ends");
+    }
+  }
+
+  /** The first attempt is at an upstream that is slow to respond; it may still succeed. */
+  @Test
+  void doesNotSendAHedgedRequestForAHalfClosedClient() throws Exception {
+    AtomicReference<Client> halfClosing = new AtomicReference<>();
+    CountDownLatch signal = new CountDownLatch(1);
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, actions) -> {
+              if (event instanceof RequestArrived request && request.workHintNanos() == 0) {
+                actions.accept(startAttempt(request.requestId(), "s-1"));
+              } else if (event instanceof RequestArrived request) {
+                Departure.HALF_CLOSE.apply(halfClosing.get());
+                actions.accept(startAttempt("r0", "s-2"));
+                actions.accept(new RejectRequest(request.requestId(), 0));
+              }
+            });
+    try (FakeServer first = DownstreamFixture.respondingAfter(signal);
+        FakeServer second = FakeServer.answering(FakeServer.ok("y"));
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(first, second), engine);
+        Client client = proxy.client();
+        Client other = proxy.client()) {
+      halfClosing.set(client);
+      client.write(ProxyFixture.get("t", ""));
+      awaitRequest(first);
+      String trigger = ProxyFixture.get("trigger", "X-Size-Hint: 7\r\n");
+      assertTrue(other.ask(trigger).startsWith("HTTP/1.1 429 "));
+      AttemptEnded hedge = engine.next(AttemptEnded.class);
+      assertEquals(AttemptStatus.NOT_SENT, hedge.status());
+      assertEquals(1, hedge.attempt());
+      signal.countDown();
+      assertTrue(client.answer().endsWith("\r\n\r\nx"), "the response to the first attempt");
+      assertNull(client.answer());
+      assertTrue(second.requests.isEmpty(), "not sent");
+    }
+  }
+
+  /** Neither the connection attempt nor the client has to wait any longer. */
+  @Test
+  void rejectsAConnectingRequestAtOnceWhenItsClientHalfCloses() throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(0);
+    try (UnresponsiveUpstream upstream = new UnresponsiveUpstream();
+        ProxyFixture proxy = new ProxyFixture(unconnectable(upstream.address()), engine);
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      engine.next(RequestArrived.class);
+      client.socket.shutdownOutput();
+      assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not run");
+      assertNull(client.answer());
+      engine.next(ClientDisconnected.class);
+      assertEquals(AttemptStatus.NOT_SENT, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  /** Connecting to its one upstream takes longer than any test. */
+  private static BalancerConfig unconnectable(String address) throws IOException {
+    String endpoints = ProxyFixture.list(1, true, ProxyFixture.member("s-1", address, "ready"));
+    int connectTimeoutMillis = 1000 * ProxyFixture.TIMEOUT_SECONDS;
+    return ProxyFixture.config(
+        DownstreamFixture.UNREACHABLE, endpoints, "on_request", connectTimeoutMillis, 1024, "");
+  }
+
+  /** Its turn comes after the half-close, behind a slow request. */
+  @Test
+  void rejectsPipelinedRequestsOfAHalfClosedClient() throws Exception {
+    CountDownLatch signal = new CountDownLatch(1);
+    ScriptedEngine engine = new ScriptedEngine(ATTEMPT_TIMEOUT_NANOS);
+    try (FakeServer upstream = DownstreamFixture.respondingAfter(signal);
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream), engine);
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("t1", "") + ProxyFixture.get("t2", ""));
+      awaitRequest(upstream);
+      client.socket.shutdownOutput();
+      DownstreamFixture.awaitInputRead(proxy);
+      signal.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "it has not run");
+      assertNull(client.answer());
+      assertNull(upstream.requests.poll(), "not sent");
+    }
+  }
+
+  /** Nothing is owed for a partial request, so that the connection just ends. */
+  @ParameterizedTest
+  @CsvSource({"''", "GET /api HT"})
+  void closesAHalfClosedConnectionWithoutACompleteRequest(String part) throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(ATTEMPT_TIMEOUT_NANOS);
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"));
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream), engine);
+        Client client = proxy.client()) {
+      client.write(part);
+      client.socket.shutdownOutput();
+      assertNull(client.answer());
+      assertFalse(client.socket.isClosed());
+    }
+  }
+
+  private static void awaitRequest(FakeServer upstream) throws InterruptedException {
+    assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+  }
+
+  private static StartAttempt startAttempt(String requestId, String endpoint) {
+    return new StartAttempt(requestId, DiscoveryMessages.number(endpoint), ATTEMPT_TIMEOUT_NANOS);
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/downstream/DownstreamFixture.java
@@ -0,0 +1,69 @@
+package loadbalancer.downstream;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CountDownLatch;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+
+/** Configurations, upstreams and client behaviour that the tests of client connections share. */
+final class DownstreamFixture {
+
+  static final String UNREACHABLE = "127.0.0.1:1";
+  static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private DownstreamFixture() {}
+
+  /** How a client disconnects. */
+  enum Departure {
+    HALF_CLOSE,
+    RESET;
+
+    void apply(Client client) {
+      try {
+        if (this == RESET) {
+          client.socket.setSoLinger(true, 0);
+          client.close();
+        } else {
+          client.socket.shutdownOutput();
+        }
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+    }
+  }
+
+  /** Knows one ready upstream or more, named {@code s-1}, {@code s-2} and so on. */
+  static BalancerConfig config(FakeServer... upstreams) throws IOException {
+    String[] members = new String[upstreams.length];
+    for (int i = 0; i < upstreams.length; i++) {
+      members[i] = ProxyFixture.member("s-" + (i + 1), upstreams[i].address(), "ready");
+    }
+    return ProxyFixture.config(UNREACHABLE, ProxyFixture.list(1, true, members));
+  }
+
+  /** Responds to every request, once signalled. */
+  static FakeServer respondingAfter(CountDownLatch signal) throws IOException {
+    return new FakeServer(
+        connection -> {
+          while (connection.next() != null) {
+            signal.await();
+            connection.write(FakeServer.ok("x"));
+          }
+        });
+  }
+
+  /**
+   * Waits until the proxy has read what clients did before: by its second response it has polled
+   * all sockets once more, and carried out what followed from that.
+   */
+  static void awaitInputRead(ProxyFixture proxy) throws IOException {
+    for (int i = 0; i < 2; i++) {
+      try (Client other = proxy.client()) {
+        other.ask(HEALTH_CHECK);
+      }
+    }
+  }
+}
--- a/src/test/java/loadbalancer/downstream/MisbehavingClientTest.java
+++ b/src/test/java/loadbalancer/downstream/MisbehavingClientTest.java
@@ -20,162 +20,191 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-/** Clients that send what can't be used, or nothing: each gets an error or a close, and no one else notices. */
+/** Clients that send invalid requests, too much, or nothing: each gets an error or a close. */
 @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class MisbehavingClientTest {
 
-  private static final String NOWHERE = "127.0.0.1:1";
-  private static final String TENANTS = "\"projects\":[{\"name\":\"acme\",\"portion\":1.0,\"quota-per-s\":100000.0}],";
+  private static final String TENANTS =
+      "\"projects\":[{\"name\":\"acme\",\"portion\":1.0,\"quota-per-s\":100000.0}],";
 
-  private static BalancerConfig one(FakeServer upstream, int sockets) throws IOException {
-    return ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")), "on_request", 200,
-        sockets, "");
-  }
-
-  /** The error says what is wrong, the connection ends, and what follows on it is not looked at. */
+  /** The error says what is wrong, the connection ends, and what follows on it is not read. */
   @ParameterizedTest
-  @CsvSource(delimiter = '|', value = {
-    "POST /api HTTP/1.1~Content-Length: 4~Transfer-Encoding: chunked~~0~~ | 400",
-    "POST /api HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 4~~0~~ | 400",
-    "POST /api HTTP/1.1~Transfer-Encoding: identity~~ | 400",
-    "POST /api HTTP/1.1~Transfer-Encoding: chunked, identity~~0~~ | 400",
-    "POST /api HTTP/1.1~Content-Length: 1~Content-Length: 2~~x | 400",
-    "POST /api HTTP/1.1~Content-Length: -1~~ | 400",
-    "POST /api HTTP/1.1~Content-Length: 99999999999999999999~~ | 400",
-    "POST /api HTTP/1.1~Content-Length: 60000000~~ | 413",
-    "POST /api HTTP/1.1~Transfer-Encoding: chunked~~zz~~ | 400",
-    "nonsense~~ | 400"})
-  void whatCannotBeReadEndsTheConnection(String bad, int status) throws Exception {
-    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x")); ProxyFixture rig = new ProxyFixture(one(upstream, 1024));
-        Client client = rig.client()) {
-      String head = "X-Trace-Id: bad~X-Qos: keyed~Idempotency-Key: k~";
-      String text = bad.trim().replaceFirst("HTTP/1.1~", "HTTP/1.1~" + head).replace("~", "\r\n");
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "POST /api HTTP/1.1~Content-Length: 4~Transfer-Encoding: chunked~~0~~ | 400",
+        "POST /api HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 4~~0~~ | 400",
+        "POST /api HTTP/1.1~Transfer-Encoding: identity~~ | 400",
+        "POST /api HTTP/1.1~Transfer-Encoding: chunked, identity~~0~~ | 400",
+        "POST /api HTTP/1.1~Content-Length: 1~Content-Length: 2~~x | 400",
+        "POST /api HTTP/1.1~Content-Length: -1~~ | 400",
+        "POST /api HTTP/1.1~Content-Length: 99999999999999999999~~ | 400",
+        "POST /api HTTP/1.1~Content-Length: 60000000~~ | 413",
+        "POST /api HTTP/1.1~Transfer-Encoding: chunked~~zz~~ | 400",
+        "nonsense~~ | 400"
+      })
+  void rejectsMalformedRequestsAndClosesTheConnection(String malformed, int status)
+      throws Exception {
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"));
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream));
+        Client client = proxy.client()) {
+      String headers = "X-Trace-Id: bad~X-Qos: keyed~Idempotency-Key: k~";
+      String text =
+          malformed.trim().replaceFirst("HTTP/1.1~", "HTTP/1.1~" + headers).replace("~", "\r\n");
       client.write(text + ProxyFixture.get("hidden", ""));
-      String answer = client.answer();
-      assertTrue(answer.startsWith("HTTP/1.1 " + status + " ") && answer.contains("connection: close\r\n"), answer);
+      String response = client.answer();
+      assertTrue(
+          response.startsWith("HTTP/1.1 " + status + " ")
+              && response.contains("connection: close\r\n"),
+          response);
       assertNull(client.answer());
-      try (Client good = rig.client()) {
-        assertTrue(good.ask(ProxyFixture.get("good", "")).startsWith("HTTP/1.1 200 "));
+      try (Client wellBehaved = proxy.client()) {
+        assertTrue(wellBehaved.ask(ProxyFixture.get("good", "")).startsWith("HTTP/1.1 200 "));
       }
       assertTrue(upstream.requests.take().contains("X-Trace-Id: good\r\n"));
       assertNull(upstream.requests.poll());
     }
   }
 
-  /** Guards the order of answers: an error must not overtake the answer to what came before it. */
   @Test
-  void anErrorWaitsForItsTurn() throws Exception {
-    CountDownLatch bad = new CountDownLatch(1);
-    try (FakeServer upstream = new FakeServer(c -> {
-      c.next();
-      bad.await();
-      c.write(FakeServer.ok("first"));
-      c.ends();
-    }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client()) {
+  void rejectsOverlongRequestLinesAndHeaders() throws Exception {
+    BalancerConfig config =
+        ProxyFixture.config(DownstreamFixture.UNREACHABLE, ProxyFixture.list(1, true));
+    try (ProxyFixture proxy = new ProxyFixture(config);
+        Client first = proxy.client();
+        Client second = proxy.client()) {
+      String overlong = "x".repeat(10_000);
+      assertTrue(
+          first.ask("GET /api?" + overlong + " HTTP/1.1\r\n\r\n").startsWith("HTTP/1.1 414 "));
+      assertNull(first.answer());
+      assertTrue(
+          second
+              .ask(ProxyFixture.get("t", "X-Long: " + overlong + "\r\n"))
+              .startsWith("HTTP/1.1 431 "));
+      assertNull(second.answer());
+    }
+  }
+
+  /** An error must not overtake the response to an earlier request. */
+  @Test
+  void sendsErrorsAfterTheResponsesToEarlierRequests() throws Exception {
+    CountDownLatch invalidSent = new CountDownLatch(1);
+    try (FakeServer upstream = respondingOnce("first", invalidSent);
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream));
+        Client client = proxy.client()) {
       client.write(ProxyFixture.get("t", ""));
       assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       client.write("POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 65537\r\n\r\n");
-      bad.countDown();
+      invalidSent.countDown();
       assertTrue(client.answer().endsWith("\r\n\r\nfirst"));
       assertTrue(client.answer().startsWith("HTTP/1.1 413 "));
       assertNull(client.answer());
     }
   }
 
-  /** Guards the memory: what comes early is held, and hundreds of requests at once are too many. */
+  /** Waiting requests take memory. */
   @Test
-  void hundredsOfRequestsAtOnceAreCutOff() throws Exception {
-    CountDownLatch done = new CountDownLatch(1);
-    try (FakeServer upstream = new FakeServer(c -> {
-      for (String r = c.next(); r != null; r = c.next()) {
-        done.await();
-        c.write(FakeServer.ok("x"));
-      }
-    }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client(); Client other = rig.client()) {
-      StringBuilder many = new StringBuilder();
+  void rejectsTooManyPipelinedRequests() throws Exception {
+    CountDownLatch signal = new CountDownLatch(1);
+    try (FakeServer upstream = DownstreamFixture.respondingAfter(signal);
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream));
+        Client client = proxy.client();
+        Client other = proxy.client()) {
+      StringBuilder requests = new StringBuilder();
       for (int i = 0; i < 500; i++) {
-        many.append(ProxyFixture.get("t" + i, ""));
+        requests.append(ProxyFixture.get("t" + i, ""));
       }
-      client.write(many.toString());
+      client.write(requests.toString());
       for (int i = 0; i < 200; i++) {
-        // Each answer takes a look at all sockets, and each look reads more of the requests than there is room for.
-        other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        // For each response the proxy polls all sockets, and reads on beyond the limit.
+        other.ask(DownstreamFixture.HEALTH_CHECK);
       }
-      done.countDown();
-      List<String> answers = new ArrayList<>();
-      for (String answer = client.answer(); answer != null; answer = client.answer()) {
-        answers.add(answer);
+      signal.countDown();
+      List<String> responses = new ArrayList<>();
+      for (String response = client.answer(); response != null; response = client.answer()) {
+        responses.add(response);
       }
-      assertTrue(answers.size() < 100, "answers: " + answers.size());
-      assertTrue(answers.get(0).startsWith("HTTP/1.1 200 "), answers.get(0));
-      assertTrue(answers.get(answers.size() - 1).startsWith("HTTP/1.1 400 "), answers.size() + answers.get(answers.size() - 1));
+      String last = responses.get(responses.size() - 1);
+      assertTrue(responses.size() < 100, "responses: " + responses.size());
+      assertTrue(responses.get(0).startsWith("HTTP/1.1 200 "), responses.get(0));
+      assertTrue(last.startsWith("HTTP/1.1 400 "), responses.size() + last);
     }
   }
 
-  /** Guards another client's request, and its effect, from one who uses its id. */
+  /** Else another client could interfere with a request, and its effect, by using its id. */
   @Test
-  void theIdOfARequestInHandIsAConflict() throws Exception {
-    CountDownLatch done = new CountDownLatch(1);
-    try (FakeServer upstream = new FakeServer(c -> {
-      while (c.next() != null) {
-        done.await();
-        c.write(FakeServer.ok("x"));
-      }
-    }); ProxyFixture rig = new ProxyFixture(one(upstream, 1024)); Client client = rig.client(); Client thief = rig.client()) {
+  void rejectsATraceIdThatIsInFlight() throws Exception {
+    CountDownLatch signal = new CountDownLatch(1);
+    try (FakeServer upstream = DownstreamFixture.respondingAfter(signal);
+        ProxyFixture proxy = new ProxyFixture(DownstreamFixture.config(upstream));
+        Client client = proxy.client();
+        Client imitator = proxy.client()) {
       client.write(ProxyFixture.get("t", ""));
       assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
-      assertTrue(thief.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 409 "));
-      done.countDown();
+      assertTrue(imitator.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 409 "));
+      signal.countDown();
       assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
-      assertTrue(thief.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 200 "), "free again");
+      assertTrue(imitator.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 200 "), "free again");
       assertEquals(2, upstream.requests.size() + 1);
     }
   }
 
   @Test
-  void anUnknownTenantAndAnEndlessNameAreErrors() throws Exception {
-    BalancerConfig config = BalancerConfig.parse(ProxyFixture.text(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 1024, "")
-        .replace("\"settings\":{", "\"settings\":{" + TENANTS), Map.of());
-    try (ProxyFixture rig = new ProxyFixture(config); Client client = rig.client()) {
-      assertTrue(client.ask(ProxyFixture.get("t", "X-Customer: nobody\r\n")).startsWith("HTTP/1.1 400 "));
-      assertTrue(client.ask(ProxyFixture.get("t".repeat(1000), "X-Customer: acme\r\n")).startsWith("HTTP/1.1 400 "));
+  void rejectsAnUnknownTenantAndAnOverlongTraceId() throws Exception {
+    String text =
+        ProxyFixture.text(
+            DownstreamFixture.UNREACHABLE, ProxyFixture.list(1, true), "on_request", 200, 1024, "");
+    String withTenants = text.replace("\"settings\":{", "\"settings\":{" + TENANTS);
+    try (ProxyFixture proxy = new ProxyFixture(BalancerConfig.parse(withTenants, Map.of()));
+        Client client = proxy.client()) {
+      String unknownTenant = ProxyFixture.get("t", "X-Customer: nobody\r\n");
+      assertTrue(client.ask(unknownTenant).startsWith("HTTP/1.1 400 "));
+      String overlongTraceId = ProxyFixture.get("t".repeat(1000), "X-Customer: acme\r\n");
+      assertTrue(client.ask(overlongTraceId).startsWith("HTTP/1.1 400 "));
     }
   }
 
-  /** Guards the descriptors from clients that connect and say nothing, or never come to an end. */
+  /** Clients that connect and send nothing, or never finish, must not hold descriptors. */
   @ParameterizedTest
-  @CsvSource(delimiter = '|', value = {"'' | ''", "GET /api HT | HTTP/1.1 408 ",
-    "POST /api HTTP/1.1~X-Trace-Id: t~Content-Length: 5~~half | HTTP/1.1 408 "})
-  void withoutAWholeRequestAConnectionEnds(String part, String answer) throws Exception {
-    try (ProxyFixture rig = new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true))); Client client = rig.client()) {
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "'' | ''",
+        "GET /api HT | HTTP/1.1 408 ",
+        "POST /api HTTP/1.1~X-Trace-Id: t~Content-Length: 5~~half | HTTP/1.1 408 "
+      })
+  void closesConnectionsWithoutACompleteRequest(String part, String expected) throws Exception {
+    BalancerConfig config =
+        ProxyFixture.config(DownstreamFixture.UNREACHABLE, ProxyFixture.list(1, true));
+    try (ProxyFixture proxy = new ProxyFixture(config);
+        Client client = proxy.client()) {
       client.write(part.replace("~", "\r\n"));
-      String got = client.answer();
-      assertTrue(answer.isEmpty() ? got == null : got.startsWith(answer), got);
-      assertTrue(got == null || client.answer() == null, "and the connection ends");
+      String response = client.answer();
+      assertTrue(expected.isEmpty() ? response == null : response.startsWith(expected), response);
+      assertTrue(response == null || client.answer() == null, "and the connection ends");
     }
   }
 
-  /** Guards usual clients at the limit: first go those that never asked, and never one with a request open. */
+  /** A connection with a request in flight is never shed. */
   @Test
-  void atTheLimitClientsThatNeverAskedGoFirst() throws Exception {
-    CountDownLatch done = new CountDownLatch(1);
+  void shedsClientsThatNeverSentARequestFirst() throws Exception {
+    CountDownLatch signal = new CountDownLatch(1);
     List<Client> silent = new ArrayList<>();
-    try (FakeServer upstream = new FakeServer(c -> {
-      c.next();
-      done.await();
-      c.write(FakeServer.ok("x"));
-      c.ends();
-    }); ProxyFixture rig = new ProxyFixture(one(upstream, 72)); Client served = rig.client(); Client idle = rig.client()) {
-      String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
-      assertTrue(idle.ask(health).startsWith("HTTP/1.1 200 "));
+    try (FakeServer upstream = respondingOnce("x", signal);
+        ProxyFixture proxy = new ProxyFixture(configWithSockets(upstream, 72));
+        Client served = proxy.client();
+        Client idle = proxy.client()) {
+      assertTrue(idle.ask(DownstreamFixture.HEALTH_CHECK).startsWith("HTTP/1.1 200 "));
       served.write(ProxyFixture.get("t", ""));
       assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
       for (int i = 0; i < 60; i++) {
-        silent.add(rig.client());
+        silent.add(proxy.client());
       }
       assertNull(silent.get(0).answer(), "closed");
-      assertTrue(idle.ask(health).startsWith("HTTP/1.1 200 "), "one that has asked stays");
-      done.countDown();
+      assertTrue(
+          idle.ask(DownstreamFixture.HEALTH_CHECK).startsWith("HTTP/1.1 200 "),
+          "one that has sent a request stays");
+      signal.countDown();
       assertTrue(served.answer().startsWith("HTTP/1.1 200 "));
     } finally {
       for (Client client : silent) {
@@ -184,19 +213,48 @@
     }
   }
 
-  /** Guards the memory: who comes too late with a body is told so; the connection was closed without a word. */
+  /** Not only closes the connection: the client learns why. */
   @Test
-  void aBodyForWhichThereIsNoRoomIsAnError() throws Exception {
-    String text = ProxyFixture.text(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 1024, "").replace("\"memory_mb\":192", "\"memory_mb\":1");
-    try (ProxyFixture rig = new ProxyFixture(BalancerConfig.parse(text, Map.of())); Client first = rig.client(); Client late = rig.client()) {
-      String half = ProxyFixture.post("t", "Idempotency-Key: k\r\n", "x".repeat(60_000)).substring(0, 40_000);
-      first.write(half);
-      try (Client other = rig.client()) {
-        other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+  void rejectsABodyOverTheMemoryBudget() throws Exception {
+    String text =
+        ProxyFixture.text(
+            DownstreamFixture.UNREACHABLE, ProxyFixture.list(1, true), "on_request", 200, 1024, "");
+    String smallBudget = text.replace("\"memory_mb\":192", "\"memory_mb\":1");
+    try (ProxyFixture proxy = new ProxyFixture(BalancerConfig.parse(smallBudget, Map.of()));
+        Client first = proxy.client();
+        Client late = proxy.client()) {
+      String request = ProxyFixture.post("t", "Idempotency-Key: k\r\n", "x".repeat(60_000));
+      String part = request.substring(0, 40_000);
+      first.write(part);
+      try (Client other = proxy.client()) {
+        other.ask(DownstreamFixture.HEALTH_CHECK);
       }
-      late.write(half);
+      late.write(part);
       assertTrue(late.answer().startsWith("HTTP/1.1 413 "));
       assertNull(late.answer());
     }
   }
+
+  /** Responds to its first request once signalled, and waits until its connection is closed. */
+  private static FakeServer respondingOnce(String body, CountDownLatch signal) throws IOException {
+    return new FakeServer(
+        connection -> {
+          connection.next();
+          signal.await();
+          connection.write(FakeServer.ok(body));
+          connection.ends();
+        });
+  }
+
+  private static BalancerConfig configWithSockets(FakeServer upstream, int sockets)
+      throws IOException {
+    String member = ProxyFixture.member("s-1", upstream.address(), "ready");
+    return ProxyFixture.config(
+        DownstreamFixture.UNREACHABLE,
+        ProxyFixture.list(1, true, member),
+        "on_request",
+        200,
+        sockets,
+        "");
+  }
 }
