Cut the client listener into classes of one job each

Now the listener binds, accepts, sheds and drains; ClientConnection is one connection; RequestRouter and RequestParser turn a decoded request into a DownstreamRequest or a LocalReply (sealed RoutingResult) in place of an else-if chain; PipelinedRequests, ResponseFactory, ListenerState and BodyBudget own what their names say. Fields and log lines are in the field's terms.

Order of handlers, status codes, time limits and every close, linger and half-close path are unchanged; the texts of errors for undecodable requests now name the limit exceeded.

--- /dev/null
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -0,0 +1,279 @@
+package loadbalancer.downstream;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import loadbalancer.downstream.ClientConnections.State;
+import loadbalancer.net.PendingReads;
+
+/**
+ * One client connection. It serves one request at a time; pipelined ones wait their turn.
+ *
+ * <p>It owns the connection's channel and its entry in {@link ClientConnections}, and closes both.
+ */
+final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest>
+    implements ResponseSink {
+
+  private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
+
+  private final Channel channel;
+  private final RequestHandler handler;
+  private final RequestRouter router;
+  private final ClientConnections connections;
+  private final ListenerState listenerState;
+  private final RequestAggregator aggregator;
+  private final PipelinedRequests pipelined = new PipelinedRequests();
+
+  /** A request, or an error, on this connection still has no response written. */
+  private boolean responsePending;
+
+  /** The request that the handler has accepted and not responded to; null for none. */
+  private DownstreamRequest currentRequest;
+
+  /** Bytes of the body of the request being served. */
+  private int currentBodyBytes;
+
+  /** Whether the client of the request being served wants the connection kept alive. */
+  private boolean keepAlive;
+
+  /** Bytes have arrived since the last complete request. */
+  private boolean partialRequest;
+
+  /** Further input is not read: it follows an error, exceeds a limit, or the client ended it. */
+  private boolean discardInput;
+
+  /** The client has ended its sending. */
+  private boolean halfClosed;
+
+  ClientConnection(
+      Channel channel,
+      RequestHandler handler,
+      RequestRouter router,
+      ClientConnections connections,
+      ListenerState listenerState,
+      BodyBudget bodyBudget) {
+    this.channel = channel;
+    this.handler = handler;
+    this.router = router;
+    this.connections = connections;
+    this.listenerState = listenerState;
+    aggregator = new RequestAggregator(bodyBudget, () -> responsePending);
+  }
+
+  /** The handler that puts this connection's requests together. */
+  RequestAggregator aggregator() {
+    return aggregator;
+  }
+
+  // ---- Input -----------------------------------------------------------------------------------
+
+  @Override
+  public void channelActive(ChannelHandlerContext context) {
+    connections.setState(this, State.READING);
+  }
+
+  /** Bytes are about to be decoded; false to drop them. From the first on the time limit runs. */
+  boolean bytesReceived() {
+    if (discardInput) {
+      return false;
+    }
+    partialRequest = true;
+    if (connections.isIn(State.IDLE, this)) {
+      connections.setState(this, State.READING);
+    }
+    return true;
+  }
+
+  @Override
+  protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (discardInput) {
+      return;
+    }
+    discardInput = !request.decoderResult().isSuccess();
+    if (!responsePending) {
+      serve(request);
+    } else if (!pipelined.offer(request)) {
+      // Input is still read, to notice a disconnect, but not decoded.
+      discardInput = true;
+    }
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      inputShutDown();
+    }
+    context.fireUserEventTriggered(event);
+  }
+
+  /** The client has disconnected or reads on; only writing a response would show which. */
+  private void inputShutDown() {
+    if (!responsePending || connections.isIn(State.LINGERING, this)) {
+      close();
+      return;
+    }
+    discardInput = true;
+    halfClosed = true;
+    if (currentRequest != null) {
+      handler.clientHalfClosed(currentRequest.traceId());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext context) {
+    connections.remove(this);
+    pipelined.releaseAll();
+    aggregator.releaseAll();
+    notifyDisconnected();
+  }
+
+  private void notifyDisconnected() {
+    if (currentRequest != null) {
+      handler.clientDisconnected(currentRequest.traceId());
+      currentRequest = null;
+    }
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    boolean expected = cause instanceof IOException || cause instanceof CodecException;
+    LOG.log(
+        expected ? Level.FINE : Level.WARNING,
+        "client_connection_failed client=" + channel.remoteAddress(),
+        cause);
+    if (cause instanceof CodecException && !discardInput) {
+      // For example a body over the budget. Requests before it still get their responses.
+      discardInput = true;
+      if (!responsePending) {
+        responsePending = true;
+        reply(LocalReply.undecodable(cause));
+      }
+    } else if (cause instanceof IOException || !discardInput) {
+      context.close();
+    }
+    // Any other failure concerns discarded input; requests before it still get their responses.
+  }
+
+  /** The time for a complete request is over. */
+  void requestTimedOut() {
+    if (partialRequest) {
+      discardInput = true;
+      responsePending = true;
+      reply(
+          new LocalReply(
+              HttpResponseStatus.REQUEST_TIMEOUT, "request did not arrive completely in time"));
+    } else {
+      close();
+    }
+  }
+
+  /** Reads what has arrived, which may make this connection serve a request. */
+  void readPending() {
+    PendingReads.readNow(channel);
+  }
+
+  /** Whether a close would cut off a request that is arriving, or an error being sent. */
+  boolean isReceivingOrLingering() {
+    return partialRequest || connections.isIn(State.LINGERING, this);
+  }
+
+  /** Closes the channel; the connection no longer counts from here on. */
+  void close() {
+    connections.remove(this);
+    channel.close();
+  }
+
+  // ---- Requests --------------------------------------------------------------------------------
+
+  private void serve(FullHttpRequest request) {
+    responsePending = true;
+    partialRequest = false;
+    currentBodyBytes = request.content().readableBytes();
+    connections.setState(this, State.SERVING);
+    keepAlive = HttpUtil.isKeepAlive(request);
+    RoutingResult result = router.route(request, this, halfClosed);
+    if (result instanceof DownstreamRequest accepted) {
+      accepted.message().retain();
+      currentRequest = accepted;
+      handler.accept(accepted);
+    } else {
+      reply((LocalReply) result);
+    }
+  }
+
+  // ---- Responses -------------------------------------------------------------------------------
+
+  @Override
+  public boolean isAwaited() {
+    readPending();
+    if (!channel.isActive()) {
+      // After a reset, channelInactive follows only once the event in progress has been handled.
+      notifyDisconnected();
+    }
+    return currentRequest != null && !halfClosed;
+  }
+
+  private void reply(LocalReply reply) {
+    ByteBuf content = Unpooled.copiedBuffer(reply.message() + "\n", StandardCharsets.UTF_8);
+    respond(reply.status(), 0, "text/plain", content);
+    content.release();
+  }
+
+  @Override
+  public void respond(
+      HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
+    currentRequest = null;
+    // Pipelined requests were received, so they get their responses before the connection ends.
+    boolean keepOpen =
+        keepAlive && (!pipelined.isEmpty() || !discardInput && !listenerState.isClosing());
+    channel
+        .writeAndFlush(
+            ResponseFactory.create(status, retryAfterNanos, contentType, content, keepOpen))
+        .addListener(written -> responseWritten(written.isSuccess(), keepOpen));
+  }
+
+  private void responseWritten(boolean success, boolean keepOpen) {
+    if (!success || !keepOpen && (!discardInput || halfClosed)) {
+      channel.close();
+    } else if (!keepOpen) {
+      closeOutputAndLinger();
+    } else {
+      serveNext();
+    }
+  }
+
+  /** A close over unread input would reset the connection, and the client would lose the error. */
+  private void closeOutputAndLinger() {
+    connections.setState(this, State.LINGERING);
+    if (channel instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+    }
+  }
+
+  private void serveNext() {
+    responsePending = false;
+    aggregator.release(currentBodyBytes);
+    FullHttpRequest next = pipelined.poll();
+    if (next != null) {
+      serve(next);
+      next.release();
+    } else if (halfClosed) {
+      // It ended its sending while this response was being written: nothing can follow.
+      close();
+    } else if (channel.isActive()) {
+      connections.setState(this, partialRequest ? State.READING : State.IDLE);
+    }
+  }
+}
--- a/src/main/java/loadbalancer/downstream/ClientConnections.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnections.java
@@ -7,133 +7,148 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
-/** The clients' connections by what they are doing and since when; says which go when time or descriptors run out. */
+/**
+ * The open client connections by state and age: closes those that exceed a time limit, and picks
+ * the ones to shed when descriptors run out.
+ */
 final class ClientConnections {
 
-  /** What a connection does; in the order in which they are shed, and one that is served never is. */
-  enum State { LEAVING, READING, IDLE, SERVED }
-
-  /** A client's connection. */
-  interface Client {
-    /** It has not sent a whole request in time. */
-    void overdue();
-
-    void close();
+  /** In the order in which connections are shed; a serving one never is. */
+  enum State {
+    /** Its last response is sent and its output closed; the client may still have to read it. */
+    LINGERING,
+    /** A request is expected or has arrived in part. */
+    READING,
+    /** Kept alive between requests. */
+    IDLE,
+    /** A request awaits its response. */
+    SERVING
+  }
 
-    /** Reads what has come on it, and is then served if that was a request. */
-    void look();
+  /** A client is owed an error or a close 3 s after it connects without a complete request. */
+  private static final long READING_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
 
-    /** Whether a close would cut something off: a request that is coming in, or an error on its way out. */
-    boolean isUnderWay();
-  }
+  /** For the client to read an error: closing at once, over unread input, would destroy it. */
+  private static final long LINGERING_LIMIT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** A client is owed an error or a close 3 s after it connected if no whole request has come by then. */
-  static final long READING_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
-  /** After an error a client has this long to read it: closing at once, over what it still sends, would destroy it. */
-  private static final long LEAVING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-  /** A client that has not asked for this long won't miss its connection. */
-  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
+  /** A client without a request for this long does not miss its connection. */
+  private static final long IDLE_LIMIT_NANOS = TimeUnit.SECONDS.toNanos(60);
 
-  /** The time of the last move comes first in each, so that the longest in a state is at its head. */
-  private final Map<State, Map<Client, Long>> since = new EnumMap<>(State.class);
+  /** System.nanoTime at entry to the state; each inner map is ordered by it, oldest first. */
+  private final Map<State, Map<ClientConnection, Long>> enteredAtNanos = new EnumMap<>(State.class);
 
   ClientConnections() {
     for (State state : State.values()) {
-      since.put(state, new LinkedHashMap<>());
+      enteredAtNanos.put(state, new LinkedHashMap<>());
     }
   }
 
   int count() {
     int count = 0;
-    for (Map<Client, Long> clients : since.values()) {
-      count += clients.size();
+    for (Map<ClientConnection, Long> connections : enteredAtNanos.values()) {
+      count += connections.size();
     }
     return count;
   }
 
-  /** It does something else from now on; a state that it is in already starts anew. */
-  void move(Client client, State to) {
-    remove(client);
-    since.get(to).put(client, System.nanoTime());
+  /** Moves a connection to a state, or adds it; its time there starts anew in any case. */
+  void setState(ClientConnection connection, State state) {
+    remove(connection);
+    enteredAtNanos.get(state).put(connection, System.nanoTime());
   }
 
-  boolean is(Client client, State state) {
-    return since.get(state).containsKey(client);
+  boolean isIn(State state, ClientConnection connection) {
+    return enteredAtNanos.get(state).containsKey(connection);
   }
 
-  void remove(Client client) {
-    for (Map<Client, Long> clients : since.values()) {
-      if (clients.remove(client) != null) {
+  void remove(ClientConnection connection) {
+    for (Map<ClientConnection, Long> connections : enteredAtNanos.values()) {
+      if (connections.remove(connection) != null) {
         return;
       }
     }
   }
 
-  /** Closes the one that is missed least; false if all are being served. Closing it has to remove it. */
-  boolean shed() {
-    return unserved().stream().anyMatch(this::closeUnasked);
+  /** Closes the first connection in shedding order; false if all are serving. */
+  boolean shedOne() {
+    for (ClientConnection connection : notServing()) {
+      if (closeUnlessServing(connection)) {
+        return true;
+      }
+    }
+    return false;
   }
 
-  /** What the machine has taken counts as taken, and a close over it would be a reset. */
-  private boolean closeUnasked(Client client) {
-    client.look();
-    if (is(client, State.SERVED)) {
-      return false;
+  /** Closes the connections that exceed the time limit of their state. */
+  void closeExpired() {
+    for (ClientConnection connection : expired(State.LINGERING, LINGERING_LIMIT_NANOS)) {
+      connection.close();
+    }
+    for (ClientConnection connection : expired(State.READING, READING_LIMIT_NANOS)) {
+      expireIncompleteRequest(connection);
+    }
+    for (ClientConnection connection : expired(State.IDLE, IDLE_LIMIT_NANOS)) {
+      closeUnlessServing(connection);
     }
-    client.close();
-    return true;
   }
 
-  /** All that are not served, in the order in which they are shed. */
-  private List<Client> unserved() {
-    List<Client> found = new ArrayList<>();
-    since.forEach((state, clients) -> {
-      if (state != State.SERVED) {
-        found.addAll(clients.keySet());
+  /** Closes the connections that neither serve nor receive a request nor linger. */
+  void closeIdle() {
+    for (ClientConnection connection : notServing()) {
+      connection.readPending();
+      if (!connection.isReceivingOrLingering()) {
+        closeUnlessServing(connection);
       }
-    });
-    return found;
+    }
   }
 
-  /** Ends what has gone on for too long. */
-  void sweep() {
-    longer(State.LEAVING, LEAVING_NANOS).forEach(Client::close);
-    longer(State.READING, READING_NANOS).forEach(this::hurry);
-    longer(State.IDLE, IDLE_NANOS).forEach(this::closeUnasked);
+  /** Ends the wait for the rest of every request that has not arrived completely. */
+  void expireIncompleteRequests() {
+    for (ClientConnection connection : List.copyOf(enteredAtNanos.get(State.READING).keySet())) {
+      expireIncompleteRequest(connection);
+    }
   }
 
-  private List<Client> longer(State state, long nanos) {
-    long now = System.nanoTime();
-    List<Client> found = new ArrayList<>();
-    for (Map.Entry<Client, Long> entry : since.get(state).entrySet()) {
-      if (now - entry.getValue() <= nanos) {
-        break;
-      }
-      found.add(entry.getKey());
+  /** Reads first: the request may be complete, and unread only because the event loop lagged. */
+  private void expireIncompleteRequest(ClientConnection connection) {
+    connection.readPending();
+    if (isIn(State.READING, connection)) {
+      connection.requestTimedOut();
     }
-    return found;
   }
 
-  /** Closes all that are owed nothing, and of which nothing is under way. */
-  void closeUnasked() {
-    for (Client client : unserved()) {
-      client.look();
-      if (!client.isUnderWay()) {
-        closeUnasked(client);
-      }
+  /**
+   * Reads first: a request that the kernel has received counts as received, and closing over it
+   * would reset the connection.
+   */
+  private boolean closeUnlessServing(ClientConnection connection) {
+    connection.readPending();
+    if (isIn(State.SERVING, connection)) {
+      return false;
     }
+    connection.close();
+    return true;
   }
 
-  /** All that have begun a request have no more time for the rest of it. */
-  void hurry() {
-    List.copyOf(since.get(State.READING).keySet()).forEach(this::hurry);
+  private List<ClientConnection> notServing() {
+    List<ClientConnection> found = new ArrayList<>();
+    for (Map.Entry<State, Map<ClientConnection, Long>> entry : enteredAtNanos.entrySet()) {
+      if (entry.getKey() != State.SERVING) {
+        found.addAll(entry.getValue().keySet());
+      }
+    }
+    return found;
   }
 
-  /** Its request may have come whole, and lie unread because the event loop was held up. */
-  private void hurry(Client client) {
-    client.look();
-    if (is(client, State.READING)) {
-      client.overdue();
+  private List<ClientConnection> expired(State state, long limitNanos) {
+    long nowNanos = System.nanoTime();
+    List<ClientConnection> found = new ArrayList<>();
+    for (Map.Entry<ClientConnection, Long> entry : enteredAtNanos.get(state).entrySet()) {
+      if (nowNanos - entry.getValue() <= limitNanos) {
+        break;
+      }
+      found.add(entry.getKey());
     }
+    return found;
   }
 }
--- a/src/main/java/loadbalancer/downstream/DownstreamRequest.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamRequest.java
@@ -26,4 +26,5 @@
     long deadlineNanos,
     long unreadNanos,
     FullHttpRequest message,
-    ResponseSink response) {}
+    ResponseSink response)
+    implements RoutingResult {}
--- /dev/null
+++ b/src/main/java/loadbalancer/downstream/InboundBytesHandler.java
@@ -0,0 +1,24 @@
+package loadbalancer.downstream;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+
+/** Sees a connection's bytes before they are decoded, and drops those it no longer reads. */
+final class InboundBytesHandler extends ChannelInboundHandlerAdapter {
+
+  private final ClientConnection connection;
+
+  InboundBytesHandler(ClientConnection connection) {
+    this.connection = connection;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object bytes) {
+    if (connection.bytesReceived()) {
+      context.fireChannelRead(bytes);
+    } else {
+      ReferenceCountUtil.release(bytes);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/loadbalancer/downstream/LocalReply.java
@@ -0,0 +1,36 @@
+package loadbalancer.downstream;
+
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+
+/**
+ * A response that the listener gives itself, without the {@link RequestHandler}: to a health check,
+ * or an error that says why a request is rejected.
+ *
+ * @param message the response's body, one line without its end
+ */
+record LocalReply(HttpResponseStatus status, String message) implements RoutingResult {
+
+  static LocalReply badRequest(String message) {
+    return new LocalReply(HttpResponseStatus.BAD_REQUEST, message);
+  }
+
+  /** The error for a request whose decoding failed. */
+  static LocalReply undecodable(Throwable cause) {
+    if (cause instanceof TooLongHttpContentException) {
+      return new LocalReply(
+          HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "request body exceeds its limit");
+    }
+    if (cause instanceof TooLongHttpLineException) {
+      return new LocalReply(
+          HttpResponseStatus.REQUEST_URI_TOO_LONG, "request line exceeds its limit");
+    }
+    if (cause instanceof TooLongHttpHeaderException) {
+      return new LocalReply(
+          HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "request headers exceed their limit");
+    }
+    return badRequest("malformed request");
+  }
+}
--- a/src/main/java/loadbalancer/downstream/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -1,6 +1,5 @@
 package loadbalancer.downstream;
 
-import loadbalancer.http.HttpProtocol;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
@@ -16,76 +15,77 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.function.BooleanSupplier;
+import loadbalancer.http.HttpProtocol;
 
 /**
- * Puts the parts of a request together. It answers nothing by itself but {@code 100 Continue}: one that is too large comes
- * on as a request that failed, to be answered in its turn.
+ * Aggregates the parts of a request into a complete one, and counts the bodies of its connection
+ * against the {@link BodyBudget}.
+ *
+ * <p>It sends no response but {@code 100 Continue}: a request that is too large is passed on as one
+ * whose decoding failed, so that its error keeps its place among the pipelined responses.
  */
 final class RequestAggregator extends HttpObjectAggregator {
 
-  /** The bytes that all requests in hand may hold together. */
-  static final class Budget {
-    private final long most;
-    private long held;
-
-    Budget(long most) {
-      this.most = most;
-    }
-  }
-
-  private final Budget budget;
-  private final BooleanSupplier busy;
-  private long held;
+  private final BodyBudget budget;
+  private final BooleanSupplier responsePending;
+  private long reservedBytes;
 
-  /** {@code busy} tells whether an earlier request on the connection is still to be answered. */
-  RequestAggregator(Budget budget, BooleanSupplier busy) {
+  /**
+   * @param responsePending whether an earlier request on the connection still has no response; a
+   *     {@code 100 Continue} would overtake it
+   */
+  RequestAggregator(BodyBudget budget, BooleanSupplier responsePending) {
     super(HttpProtocol.MAX_BODY_BYTES);
     this.budget = budget;
-    this.busy = busy;
+    this.responsePending = responsePending;
   }
 
   @Override
-  protected Object newContinueResponse(HttpMessage start, int mostContent, ChannelPipeline pipeline) {
-    boolean wanted = HttpUtil.is100ContinueExpected(start) && HttpUtil.getContentLength(start, 0L) <= mostContent;
-    return wanted && !busy.getAsBoolean() ? super.newContinueResponse(start, mostContent, pipeline) : null;
+  protected Object newContinueResponse(
+      HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
+    boolean expected =
+        HttpUtil.is100ContinueExpected(start)
+            && HttpUtil.getContentLength(start, 0L) <= maxContentLength;
+    if (!expected || responsePending.getAsBoolean()) {
+      return null;
+    }
+    return super.newContinueResponse(start, maxContentLength, pipeline);
   }
 
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    FullHttpRequest failed = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, HttpProtocol.API_PATH);
-    failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
+    FullHttpRequest failed =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, HttpProtocol.API_PATH);
+    failed.setDecoderResult(
+        DecoderResult.failure(new TooLongHttpContentException("request body exceeds its limit")));
     context.fireChannelRead(failed);
   }
 
   @Override
   protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
-    hold(content.readableBytes());
+    reserve(content.readableBytes());
     return super.beginAggregation(start, content);
   }
 
   @Override
   protected void aggregate(FullHttpMessage aggregated, HttpContent content) throws Exception {
-    hold(content.content().readableBytes());
+    reserve(content.content().readableBytes());
     super.aggregate(aggregated, content);
   }
 
-  /** Guards the memory against many large bodies at once: who comes too late is cut off. */
-  private void hold(int bytes) {
-    held += bytes;
-    budget.held += bytes;
-    if (budget.held > budget.most) {
-      throw new TooLongHttpContentException("no room for the body");
-    }
+  private void reserve(int bytes) {
+    reservedBytes += bytes;
+    budget.reserve(bytes);
   }
 
-  /** So many bytes are held no more. */
+  /** Returns the bytes of a request body that is no longer in memory to the budget. */
   void release(long bytes) {
-    held -= bytes;
-    budget.held -= bytes;
+    reservedBytes -= bytes;
+    budget.release(bytes);
   }
 
-  /** Nothing of the requests on this connection is held any more. */
-  void release() {
-    release(held);
+  /** Returns all bytes of the connection to the budget. */
+  void releaseAll() {
+    release(reservedBytes);
   }
 }
--- a/src/main/java/loadbalancer/downstream/RequestHandler.java
+++ b/src/main/java/loadbalancer/downstream/RequestHandler.java
@@ -6,10 +6,15 @@
   /** Accepts a request; it gets exactly one final response, possibly before this returns. */
   void accept(DownstreamRequest request);
 
-  /** The client of a request without a response has closed its connection; none is owed any more. */
+  /**
+   * The client of a request without a response has closed its connection; none is owed any more.
+   */
   void clientDisconnected(String traceId);
 
-  /** The client of a request without a response has ended its sending, and may or may not still read. */
+  /**
+   * The client of a request without a response has ended its sending, and may or may not still
+   * read.
+   */
   void clientHalfClosed(String traceId);
 
   /** Whether a request with this trace id is in flight, or an attempt of it is. */
