Write request traces and summaries as event key=value, and quote what could break a line

The log told of requests in sentences, which could be read but not parsed. A request's line and the summary of a second now consist of keys and values; a text that a client chooses is quoted where it is not one plain word. The same requests get lines, at most five a second as before. The test gives the trace its own requests instead of those of the proxy, and additionally checks late and queued requests.

--- a/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
+++ b/src/main/java/loadbalancer/telemetry/EventLoopLagMonitor.java
@@ -5,38 +5,45 @@
 import loadbalancer.net.MonotonicClock;
 
 /**
- * How long what is read now may have lain unread because the event loop was held up. Guards the deadlines: a client's time runs
- * from its request's last byte, whenever that is read, and an answer half a second late is lost.
+ * Measures for how long a request that is read now may have lain unread because the event loop was
+ * held up. A client's time runs from its request's last byte, whenever that is read, and a response
+ * that comes half a second late is lost. Confined to the event loop.
  */
 public final class EventLoopLagMonitor {
 
   private static final long PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-  private static final long AGAIN_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+  private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
 
   private final EventLoop loop;
   private final MonotonicClock clock;
-  private long beatAt;
+  private long lastTickNanos;
   private boolean late;
 
-  /** The loop beats from now on: it has looked at its sockets shortly before each beat. */
+  /**
+   * Starts to tick on the event loop, which has read its sockets shortly before each tick that is
+   * in time.
+   */
   public EventLoopLagMonitor(EventLoop loop, MonotonicClock clock) {
     this.loop = loop;
     this.clock = clock;
-    beatAt = clock.nowNanos();
-    beat();
+    lastTickNanos = clock.nowNanos();
+    tick();
   }
 
-  private void beat() {
-    // A beat that was held up counts from the next turn on only: in this one the sockets may not have been looked at since.
-    late = !late && clock.nowNanos() - beatAt > 2 * PERIOD_NANOS;
+  private void tick() {
+    // A late tick counts from the next turn on only: in this one the sockets may not have been read
+    // since.
+    late = !late && clock.nowNanos() - lastTickNanos > 2 * PERIOD_NANOS;
     if (!late) {
-      beatAt = clock.nowNanos();
+      lastTickNanos = clock.nowNanos();
     }
-    loop.schedule(this::beat, late ? AGAIN_NANOS : PERIOD_NANOS, TimeUnit.NANOSECONDS);
+    loop.schedule(this::tick, late ? RETRY_NANOS : PERIOD_NANOS, TimeUnit.NANOSECONDS);
   }
 
-  /** So long ago the loop should have looked at its sockets and did not; 0 where it is in time. */
+  /**
+   * How long ago the event loop should have read its sockets and did not; 0 where it is in time.
+   */
   public long lagNanos() {
-    return Math.max(0, clock.nowNanos() - beatAt - PERIOD_NANOS);
+    return Math.max(0, clock.nowNanos() - lastTickNanos - PERIOD_NANOS);
   }
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/telemetry/LogValues.java
@@ -0,0 +1,44 @@
+package loadbalancer.telemetry;
+
+/** Writes texts as values of log lines. */
+public final class LogValues {
+
+  private static final String HEX_DIGITS = "0123456789abcdef";
+
+  private LogValues() {}
+
+  /** A text as it is where it is one plain word, else {@linkplain #quote quoted}. */
+  public static String value(String text) {
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c <= ' ' || c == '"' || c == '\\' || c == '=' || c == ',' || isControl(c)) {
+        return quote(text);
+      }
+    }
+    return text.isEmpty() ? "\"\"" : text;
+  }
+
+  /**
+   * A text in double quotes, on one line: quotes and backslashes are escaped, control characters as
+   * in JSON.
+   */
+  public static String quote(String text) {
+    StringBuilder quoted = new StringBuilder(text.length() + 2).append('"');
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c == '"' || c == '\\') {
+        quoted.append('\\').append(c);
+      } else if (isControl(c)) {
+        quoted.append("\\u00").append(HEX_DIGITS.charAt(c >> 4)).append(HEX_DIGITS.charAt(c & 15));
+      } else {
+        quoted.append(c);
+      }
+    }
+    return quoted.append('"').toString();
+  }
+
+  /** Whether a character of the first 256 could break or disguise a line. */
+  private static boolean isControl(char c) {
+    return c < ' ' || c >= 0x7f && c < 0xa0;
+  }
+}
--- a/src/main/java/loadbalancer/telemetry/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.logging.Level;
@@ -9,104 +10,154 @@
 import loadbalancer.decision.api.AttemptStatus;
 
 /**
- * What can be read afterwards: a line of figures for each second in which something was answered, and the course of some of
- * the requests that ended badly. It is bounded: on a bad day it would else take the core that the requests need.
+ * Logs a {@code summary} line for each second in which a request got its final response, and {@code
+ * request} lines for some of the requests that were served late, rejected after a wait, or failed.
+ * The number of lines is bounded: on a bad day they would else take the core that the requests
+ * need. Confined to the event loop.
  */
 public final class RequestTrace {
 
   private static final Logger LOG = Logger.getLogger(RequestTrace.class.getName());
 
   private static final long PERIOD_NANOS = TimeUnit.SECONDS.toNanos(1);
-  /** Requests told of in a period; the figures count all of them. */
-  private static final int MOST_TOLD = 5;
-  /** A refusal within this time came at once; a later one was held first, or tried. */
+
+  /** Request lines a period; the summary counts all requests. */
+  private static final int MAX_REQUEST_LINES = 5;
+
+  /** A rejection within this time came at once; a later one was queued or attempted before. */
   private static final long AT_ONCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
 
-  private final LongFunction<String> names;
-  private long periodEnds;
+  private static final int LINE_CAPACITY = 200;
+
+  private static final AttemptStatus[] STATUSES = AttemptStatus.values();
+
+  private final LongFunction<String> endpointNames;
+  private final int[] attempts = new int[STATUSES.length];
+  private long periodEndNanos;
   private int served;
   private int late;
-  private int refusedAtOnce;
-  private int refusedLater;
+  private int rejectedAtOnce;
+  private int rejectedLater;
   private int failed;
-  private int told;
-  private final int[] attempts = new int[AttemptStatus.values().length];
-  private long latestTimer;
+  private int requestLines;
+  private long maxLagNanos;
 
-  /** {@code names} gives an upstream's name on the list. */
-  public RequestTrace(LongFunction<String> names) {
-    this.names = names;
+  /**
+   * Starts without a period; the first one starts with the first response.
+   *
+   * @param endpointNames gives the name of an endpoint by its id
+   */
+  public RequestTrace(LongFunction<String> endpointNames) {
+    this.endpointNames = endpointNames;
   }
 
-  /** An attempt has ended. */
+  /** Counts an attempt that has ended. */
   public void attemptEnded(AttemptStatus status) {
     attempts[status.ordinal()]++;
   }
 
-  /** A timer of the module comes so long after it was due: so far is the event loop behind. */
+  /**
+   * Records how long after its due time one of the decision engine's timers fired: so far the event
+   * loop lags.
+   */
   public void timerFired(long lateNanos) {
-    latestTimer = Math.max(latestTimer, lateNanos);
+    maxLagNanos = Math.max(maxLagNanos, lateNanos);
+  }
+
+  /** Records that a request got its final response, and logs what is due. */
+  public void responded(TracedRequest request, HttpResponseStatus status, long nowNanos) {
+    if (count(request, status, nowNanos) && requestLines++ < MAX_REQUEST_LINES) {
+      logRequest(request, status, nowNanos);
+    }
+    if (periodEndNanos == 0) {
+      periodEndNanos = nowNanos + PERIOD_NANOS;
+    } else if (nowNanos >= periodEndNanos) {
+      periodEndNanos = nowNanos + PERIOD_NANOS;
+      logSummary();
+      startPeriod();
+    }
   }
 
-  /** A request has its final answer. */
-  public void responded(TracedRequest x, HttpResponseStatus status, long now) {
-    long took = now - x.acceptedAtNanos();
-    boolean isServed = status.equals(HttpResponseStatus.OK);
-    boolean refused = status.equals(HttpResponseStatus.TOO_MANY_REQUESTS);
-    boolean atOnce = refused && took < AT_ONCE_NANOS;
-    boolean isLate = isServed && took > x.requestClass().latencyObjectiveNanos();
-    served += isServed ? 1 : 0;
-    late += isLate ? 1 : 0;
-    refusedAtOnce += atOnce ? 1 : 0;
-    refusedLater += refused && !atOnce ? 1 : 0;
-    failed += isServed || refused ? 0 : 1;
-    if ((isLate || !isServed && !atOnce) && told++ < MOST_TOLD) {
-      tell(x, status, now);
+  /** Counts a response; returns whether the request is one for a line of its own. */
+  private boolean count(TracedRequest request, HttpResponseStatus status, long nowNanos) {
+    long duration = nowNanos - request.acceptedAtNanos();
+    if (status.equals(HttpResponseStatus.OK)) {
+      boolean isLate = duration > request.requestClass().latencyObjectiveNanos();
+      served++;
+      late += isLate ? 1 : 0;
+      return isLate;
+    }
+    if (!status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)) {
+      failed++;
+      return true;
     }
-    if (periodEnds == 0) {
-      periodEnds = now + PERIOD_NANOS;
-    } else if (now >= periodEnds) {
-      periodEnds = now + PERIOD_NANOS;
-      sumUp();
+    if (duration < AT_ONCE_NANOS) {
+      rejectedAtOnce++;
+      return false;
     }
+    rejectedLater++;
+    return true;
   }
 
-  private void sumUp() {
-    StringBuilder line = new StringBuilder(200).append("served ").append(served).append(", ").append(late)
-        .append(" of them past the aim; refused ").append(refusedAtOnce).append(" at once, ").append(refusedLater)
-        .append(" later; failed ").append(failed).append("; attempts");
-    for (AttemptStatus status : AttemptStatus.values()) {
-      if (attempts[status.ordinal()] > 0) {
-        line.append(' ').append(attempts[status.ordinal()]).append(' ').append(status);
+  private void logSummary() {
+    StringBuilder line = new StringBuilder(LINE_CAPACITY).append("summary served=").append(served);
+    line.append(" late=").append(late);
+    line.append(" rejected_at_once=").append(rejectedAtOnce);
+    line.append(" rejected_later=").append(rejectedLater);
+    line.append(" failed=").append(failed);
+    for (AttemptStatus status : STATUSES) {
+      int count = attempts[status.ordinal()];
+      if (count > 0) {
+        line.append(" attempts_").append(status.name().toLowerCase(Locale.ROOT));
+        line.append('=').append(count);
       }
     }
-    log(line.append("; loop behind by ").append(millis(latestTimer)).append(" ms at most").toString());
-    served = late = refusedAtOnce = refusedLater = failed = told = 0;
+    log(line.append(" max_loop_lag_ms=").append(millis(maxLagNanos)));
+  }
+
+  private void startPeriod() {
+    served = 0;
+    late = 0;
+    rejectedAtOnce = 0;
+    rejectedLater = 0;
+    failed = 0;
+    requestLines = 0;
+    maxLagNanos = 0;
     Arrays.fill(attempts, 0);
-    latestTimer = 0;
   }
 
-  private void tell(TracedRequest x, HttpResponseStatus status, long now) {
-    StringBuilder line = new StringBuilder(200).append(x.traceId()).append(' ').append(x.requestClass().name()).append(" answered ")
-        .append(status.code()).append(" after ").append(millis(now - x.acceptedAtNanos())).append(" of ")
-        .append(millis(x.deadlineNanos() - x.acceptedAtNanos())).append(" ms");
-    if (millis(x.unreadNanos()) > 0) {
-      line.append(", read up to ").append(millis(x.unreadNanos())).append(" ms late");
+  private void logRequest(TracedRequest request, HttpResponseStatus status, long nowNanos) {
+    long acceptedAt = request.acceptedAtNanos();
+    StringBuilder line = new StringBuilder(LINE_CAPACITY).append("request trace_id=");
+    line.append(LogValues.value(request.traceId()));
+    line.append(" class=").append(LogValues.value(request.requestClass().name()));
+    line.append(" status=").append(status.code());
+    line.append(" duration_ms=").append(millis(nowNanos - acceptedAt));
+    line.append(" budget_ms=").append(millis(request.deadlineNanos() - acceptedAt));
+    line.append(" unread_ms=").append(millis(request.unreadNanos()));
+    int number = 0;
+    for (TracedAttempt attempt : request.attempts()) {
+      number++;
+      line.append(" attempt_").append(number).append('=');
+      appendAttempt(line, attempt, acceptedAt);
     }
-    for (TracedAttempt a : x.attempts()) {
-      line.append("; sent to ").append(names.apply(a.endpointId())).append(" at ").append(millis(a.startedAtNanos() - x.acceptedAtNanos()));
-      if (a.status() == null) {
-        line.append(", out");
-      } else {
-        line.append(", ").append(a.status()).append(" after ").append(millis(a.latencyNanos()));
-      }
+    log(line);
+  }
+
+  private void appendAttempt(StringBuilder line, TracedAttempt attempt, long acceptedAt) {
+    line.append("endpoint:").append(LogValues.value(endpointNames.apply(attempt.endpointId())));
+    line.append(",start_ms:").append(millis(attempt.startedAtNanos() - acceptedAt));
+    if (attempt.status() == null) {
+      line.append(",status:IN_FLIGHT");
+    } else {
+      line.append(",status:").append(attempt.status());
+      line.append(",latency_ms:").append(millis(attempt.latencyNanos()));
     }
-    log(line.toString());
   }
 
-  /** Named here, or the logger would walk the stack to find out who calls. */
-  private static void log(String line) {
-    LOG.logp(Level.INFO, "RequestTrace", "log", line);
+  /** Names the source, or the logger would walk the stack to find it. */
+  private static void log(StringBuilder line) {
+    LOG.logp(Level.INFO, "RequestTrace", "log", line.toString());
   }
 
   private static long millis(long nanos) {
--- a/src/main/java/loadbalancer/telemetry/TracedAttempt.java
+++ b/src/main/java/loadbalancer/telemetry/TracedAttempt.java
@@ -2,9 +2,10 @@
 
 import loadbalancer.decision.api.AttemptStatus;
 
-/** What the log tells of one attempt of a request. Clock readings and durations are nanoseconds. */
+/** What the log says of one attempt of a request. Clock readings and durations are nanoseconds. */
 public interface TracedAttempt {
 
+  /** The endpoint that it went to. */
   long endpointId();
 
   /** Clock reading at which the attempt was started. */
--- a/src/main/java/loadbalancer/telemetry/TracedRequest.java
+++ b/src/main/java/loadbalancer/telemetry/TracedRequest.java
@@ -3,12 +3,13 @@
 import java.util.List;
 import loadbalancer.decision.api.RequestClass;
 
-/** What the log tells of a request. Clock readings and durations are nanoseconds. */
+/** What the log says of a request. Clock readings and durations are nanoseconds. */
 public interface TracedRequest {
 
   /** The client's id of the request. */
   String traceId();
 
+  /** The request's class, which states its latency objective. */
   RequestClass requestClass();
 
   /** Clock reading at which the proxy accepted the request. */
--- a/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -3,11 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -18,8 +14,6 @@
 import loadbalancer.decision.api.DedupScope;
 import loadbalancer.decision.api.Idempotence;
 import loadbalancer.decision.api.RequestClass;
-import loadbalancer.proxy.ProxiedRequest;
-import loadbalancer.upstream.UpstreamCall;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,86 +21,114 @@
 class RequestTraceTest {
 
   private static final long MS = TimeUnit.MILLISECONDS.toNanos(1);
-  private static final RequestClass TYPE =
-      new RequestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL, 0, 400 * MS, 0, 2000 * MS, 1, 0, false);
+  private static final RequestClass CLASS =
+      new RequestClass(
+          "c", Idempotence.IDEMPOTENT, DedupScope.ALL, 0, 400 * MS, 0, 2000 * MS, 1, 0, false);
+
+  private record FakeAttempt(
+      long endpointId, long startedAtNanos, AttemptStatus status, long latencyNanos)
+      implements TracedAttempt {}
+
+  private record FakeRequest(
+      String traceId, long acceptedAtNanos, long unreadNanos, List<FakeAttempt> attempts)
+      implements TracedRequest {
 
-  private final List<String> lines = new ArrayList<>();
-  private final Logger logger = Logger.getLogger(RequestTrace.class.getName());
-  private final RequestTrace trail = new RequestTrace(upstream -> "s-" + upstream);
-  private final Handler handler = new Handler() {
     @Override
-    public void publish(LogRecord line) {
-      lines.add(line.getMessage());
+    public RequestClass requestClass() {
+      return CLASS;
     }
 
     @Override
-    public void flush() {}
+    public long deadlineNanos() {
+      return acceptedAtNanos + 2000 * MS;
+    }
+  }
 
-    @Override
-    public void close() {}
-  };
+  private final List<String> lines = new ArrayList<>();
+  private final Logger logger = Logger.getLogger(RequestTrace.class.getName());
+  private final RequestTrace trace = new RequestTrace(endpointId -> "s-" + endpointId);
+  private final Handler handler =
+      new Handler() {
+        @Override
+        public void publish(LogRecord line) {
+          lines.add(line.getMessage());
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+      };
 
   @BeforeEach
-  void listen() {
+  void addHandler() {
     logger.addHandler(handler);
   }
 
   @AfterEach
-  void listenNoMore() {
+  void removeHandler() {
     logger.removeHandler(handler);
   }
 
-  private static ProxiedRequest taken(String id, long at) {
-    ProxiedRequest x = new ProxiedRequest(id, TYPE, null, null, 0, false, at + 2000 * MS,
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/api"), new ProxiedRequest.Reply() {
-          @Override
-          public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {}
-
-          @Override
-          public boolean isAwaited() {
-            return true;
-          }
-        });
-    x.takenAt = at;
-    return x;
+  private static FakeRequest accepted(String traceId, long atNanos) {
+    return new FakeRequest(traceId, atNanos, 0, List.of());
+  }
+
+  @Test
+  void logsAFailedRequestOnOneLineWithAllItsAttempts() {
+    FakeRequest request =
+        new FakeRequest(
+            "t1",
+            0,
+            12 * MS,
+            List.of(
+                new FakeAttempt(7, 10 * MS, AttemptStatus.RESET, 40 * MS),
+                new FakeAttempt(8, 60 * MS, null, 0)));
+    trace.responded(request, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
+    assertEquals(
+        List.of(
+            "request trace_id=t1 class=c status=502 duration_ms=90 budget_ms=2000 unread_ms=12"
+                + " attempt_1=endpoint:s-7,start_ms:10,status:RESET,latency_ms:40"
+                + " attempt_2=endpoint:s-8,start_ms:60,status:IN_FLIGHT"),
+        lines);
   }
 
   @Test
-  void aRequestThatEndedBadlyIsToldOfWithAllItsAttempts() {
-    ProxiedRequest x = taken("t1", 0);
-    ProxiedRequest.Attempt first = new ProxiedRequest.Attempt(0, 10 * MS);
-    first.call = new UpstreamCall(7, () -> true, (status, answer) -> { });
-    first.status = AttemptStatus.RESET;
-    first.latency = 40 * MS;
-    ProxiedRequest.Attempt second = new ProxiedRequest.Attempt(1, 60 * MS);
-    second.call = new UpstreamCall(8, () -> true, (status, answer) -> { });
-    x.attempts.addAll(List.of(first, second));
-    x.unreadNanos = 12 * MS;
-    trail.responded(x, HttpResponseStatus.BAD_GATEWAY, 90 * MS);
-    assertEquals(List.of("t1 c answered 502 after 90 of 2000 ms, read up to 12 ms late; sent to s-7 at 10, RESET after 40; "
-        + "sent to s-8 at 60, out"), lines);
+  void logsALateAndALaterRejectedRequestOnLinesOfTheirOwn() {
+    trace.responded(accepted("late", 0), HttpResponseStatus.OK, 401 * MS);
+    trace.responded(accepted("queued", 0), HttpResponseStatus.TOO_MANY_REQUESTS, 2 * MS);
+    assertEquals(
+        List.of(
+            "request trace_id=late class=c status=200 duration_ms=401 budget_ms=2000 unread_ms=0",
+            "request trace_id=queued class=c status=429 duration_ms=2 budget_ms=2000 unread_ms=0"),
+        lines);
   }
 
   @Test
-  void whatEndedWellOrWasRefusedAtOnceIsOnlyCounted() {
-    trail.attemptEnded(AttemptStatus.SUCCESS);
-    trail.attemptEnded(AttemptStatus.REJECTED);
-    trail.timerFired(3 * MS);
-    trail.responded(taken("good", 0), HttpResponseStatus.OK, 400 * MS);
-    trail.responded(taken("refused", 500 * MS), HttpResponseStatus.TOO_MANY_REQUESTS, 501 * MS);
-    trail.responded(taken("next", 1400 * MS), HttpResponseStatus.OK, 1500 * MS);
-    assertEquals(List.of("served 2, 0 of them past the aim; refused 1 at once, 0 later; failed 0; attempts 1 SUCCESS 1 REJECTED; "
-        + "loop behind by 3 ms at most"), lines);
+  void onlyCountsWhatWasServedInTimeOrRejectedAtOnce() {
+    trace.attemptEnded(AttemptStatus.SUCCESS);
+    trace.attemptEnded(AttemptStatus.REJECTED);
+    trace.timerFired(3 * MS);
+    trace.responded(accepted("good", 0), HttpResponseStatus.OK, 400 * MS);
+    trace.responded(accepted("rejected", 500 * MS), HttpResponseStatus.TOO_MANY_REQUESTS, 501 * MS);
+    trace.responded(accepted("next", 1400 * MS), HttpResponseStatus.OK, 1500 * MS);
+    assertEquals(
+        List.of(
+            "summary served=2 late=0 rejected_at_once=1 rejected_later=0 failed=0"
+                + " attempts_success=1 attempts_rejected=1 max_loop_lag_ms=3"),
+        lines);
   }
 
-  /** On a day when all goes wrong the log takes no more of the core than on any other. */
+  /** On a day when everything fails the log takes no more of the core than on any other. */
   @Test
-  void aBadSecondLeavesFewLines() {
+  void boundsTheLinesOfABadSecond() {
     for (int i = 0; i < 1000; i++) {
-      trail.responded(taken("t" + i, 0), HttpResponseStatus.BAD_GATEWAY, 100 * MS);
+      trace.responded(accepted("t" + i, 0), HttpResponseStatus.BAD_GATEWAY, 100 * MS);
     }
     assertTrue(lines.size() < 10, "lines: " + lines.size());
-    trail.responded(taken("later", 1200 * MS), HttpResponseStatus.OK, 1300 * MS);
-    assertTrue(lines.get(lines.size() - 1).contains("failed 1000;"), lines.get(lines.size() - 1));
+    trace.responded(accepted("later", 1200 * MS), HttpResponseStatus.OK, 1300 * MS);
+    String last = lines.get(lines.size() - 1);
+    assertTrue(last.contains("failed=1000 "), last);
   }
 }
