Cut dispatcher and server by job: queue, engine, actions, attempts, shutdown, reload

Each is a class that owns its state now: EventQueue, EngineRunner, ActionExecutor, AttemptRunner, HealthChecker, InFlightRequests, RequestCompleter, UpstreamRequestFactory; GracefulShutdown, ConfigurationReloader, DiscoveryWatch; ProxyComponents wires them for the server and for the warm-up alike. Orders, time limits and what goes over the wire are unchanged; log lines name the event.

--- a/src/main/java/loadbalancer/Main.java
+++ b/src/main/java/loadbalancer/Main.java
@@ -7,28 +7,46 @@
 import loadbalancer.proxy.ServeCommand;
 import loadbalancer.simulator.SimulateCommand;
 
-/** Entry point: the real balancer or the adapter to the simulator, around the same decisions. */
+/** Entry point: runs the subcommand that the command line names. */
 public final class Main {
 
+  private static final int WRONG_USAGE = 2;
+
   private Main() {}
 
-  /** Runs the command named by the only argument. */
+  /** Runs the subcommand named by the only argument, and ends the process with its exit status. */
   public static void main(String[] args) throws IOException {
     System.exit(run(args, System.getenv(), System.in, System.out, System.err));
   }
 
-  /** The exit status: 0 at a proper end, 1 for malformed input or configuration, 2 for a wrong command line. */
-  static int run(String[] args, Map<String, String> environment, InputStream in, PrintStream out, PrintStream err)
+  /**
+   * Runs a subcommand.
+   *
+   * @return the exit status: 0 at a proper end, 1 for malformed input or configuration, 2 for a
+   *     wrong command line
+   */
+  static int run(
+      String[] args,
+      Map<String, String> environment,
+      InputStream in,
+      PrintStream out,
+      PrintStream err)
       throws IOException {
     return switch (args.length == 1 ? args[0] : "") {
       case "serve" -> ServeCommand.run(environment, err);
       case "drill" -> SimulateCommand.run(in, out, err);
       default -> {
-        err.println("usage: java -jar load-balancer.jar serve|drill");
-        err.println("  serve   run one balancer, told where and how by $ROUTER_CONFIG, until SIGTERM");
-        err.println("  drill   read batches of events from standard input, write actions to standard output");
-        yield 2;
+        printUsage(err);
+        yield WRONG_USAGE;
       }
     };
   }
+
+  private static void printUsage(PrintStream err) {
+    err.println("usage: java -jar load-balancer.jar serve|drill");
+    err.println(
+        "  serve   run one load balancer, configured by the file $ROUTER_CONFIG, until SIGTERM");
+    err.println(
+        "  drill   read batches of events from standard input, write actions to standard output");
+  }
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/proxy/AttemptRunner.java
@@ -0,0 +1,158 @@
+package loadbalancer.proxy;
+
+import io.netty.handler.codec.http.FullHttpResponse;
+import java.net.SocketAddress;
+import java.util.Map;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.net.MonotonicClock;
+import loadbalancer.telemetry.RequestTrace;
+import loadbalancer.upstream.ConnectionPool;
+import loadbalancer.upstream.UpstreamCall;
+
+/** Starts and cancels attempts, and reports how they ended. Confined to the event loop. */
+final class AttemptRunner {
+
+  private final MonotonicClock clock;
+  private final int maxAttempts;
+  private final LoadReportReader loadReports;
+  private final EndpointDirectory directory;
+  private final ConnectionPool pool;
+  private final InFlightRequests requests;
+  private final RequestCompleter completer;
+  private final EventQueue events;
+  private final RequestTrace trace;
+
+  /**
+   * Makes a runner without attempts.
+   *
+   * @param maxAttempts attempts of one request, the first included; what goes beyond is not sent
+   */
+  AttemptRunner(
+      MonotonicClock clock,
+      int maxAttempts,
+      LoadReportReader loadReports,
+      EndpointDirectory directory,
+      ConnectionPool pool,
+      InFlightRequests requests,
+      RequestCompleter completer,
+      EventQueue events,
+      RequestTrace trace) {
+    this.clock = clock;
+    this.maxAttempts = maxAttempts;
+    this.loadReports = loadReports;
+    this.directory = directory;
+    this.pool = pool;
+    this.requests = requests;
+    this.completer = completer;
+    this.events = events;
+    this.trace = trace;
+  }
+
+  /** Starts an attempt; exactly one {@link AttemptEnded} follows while the request is in flight. */
+  void start(ProxiedRequest request, StartAttempt action) {
+    long now = clock.nowNanos();
+    long endpointId = action.endpointId();
+    ProxiedAttempt attempt = new ProxiedAttempt(request.attempts().size(), now);
+    // Computed before this attempt is added: the window of the attempts before it counts.
+    long repeatDeadline = request.repeatDeadlineNanos();
+    UpstreamCall call =
+        new UpstreamCall(
+            endpointId,
+            () -> isWanted(request, endpointId, repeatDeadline),
+            (status, response) -> ended(request, attempt, status, response));
+    attempt.bind(call);
+    request.addAttempt(attempt);
+    long left = request.deadlineNanos() - now;
+    long timeout = action.timeoutNanos() == 0 ? left : Math.min(left, action.timeoutNanos());
+    SocketAddress address = directory.address(endpointId);
+    if (timeout <= 0 || attempt.index() >= maxAttempts) {
+      call.complete(AttemptStatus.NOT_SENT, null);
+    } else if (address == null) {
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
+    } else {
+      pool.start(
+          call,
+          address,
+          UpstreamRequestFactory.forward(request.downstream().message(), timeout),
+          timeout);
+    }
+  }
+
+  /** Cancels an attempt; a no-op where it has ended or its request is no longer in flight. */
+  void cancel(String requestId, int attempt) {
+    ProxiedRequest request = requests.find(requestId);
+    if (request != null) {
+      pool.cancel(request.attempts().get(attempt).call());
+    }
+  }
+
+  /** Cancels all attempts of a request that have not ended. */
+  void cancelAll(ProxiedRequest request) {
+    for (ProxiedAttempt attempt : request.attempts()) {
+      pool.cancel(attempt.call());
+    }
+  }
+
+  /**
+   * Whether an attempt may still be written. Since it was decided a connection may have taken long
+   * to come up, and events may have happened that the engine is told of next: the endpoint drains,
+   * the request is completed or its dedup window over, or the client has disconnected.
+   */
+  private boolean isWanted(ProxiedRequest request, long endpointId, long repeatDeadline) {
+    return request.isAwaited()
+        && directory.isReady(endpointId)
+        && clock.nowNanos() < repeatDeadline;
+  }
+
+  private void ended(
+      ProxiedRequest request,
+      ProxiedAttempt attempt,
+      AttemptStatus status,
+      FullHttpResponse response) {
+    attempt.end(status, clock.nowNanos());
+    trace.attemptEnded(status);
+    Map<String, Double> loadReport = loadReports.read(response);
+    // The pool releases its reference when this returns, and the event waits for its turn.
+    FullHttpResponse retained = status == AttemptStatus.SUCCESS ? response.retain() : null;
+    events.enqueue(() -> deliverEnd(request, attempt, retained, loadReport));
+  }
+
+  /**
+   * Gives the client the response that came, if it is the first, and words the attempt's end for
+   * the engine.
+   *
+   * @param response released here; null where none came
+   * @return null where the request is no longer in flight
+   */
+  private Event deliverEnd(
+      ProxiedRequest request,
+      ProxiedAttempt attempt,
+      FullHttpResponse response,
+      Map<String, Double> loadReport) {
+    request.attemptDelivered();
+    if (response != null) {
+      if (!request.isCompleted()) {
+        completer.respondOk(request, response);
+      }
+      response.release();
+    }
+    if (request.isClientHalfClosed() && !request.hasAttemptsInFlight() && !request.isCompleted()) {
+      completer.respondUnserved(request);
+    }
+    if (!requests.contains(request)) {
+      return null;
+    }
+    return new AttemptEnded(
+        request.id(),
+        attempt.index(),
+        attempt.endpointId(),
+        attempt.status(),
+        attempt.latencyNanos(),
+        request.isCompleted(),
+        loadReport);
+  }
+}
--- a/src/main/java/loadbalancer/proxy/ClassArchiveTraining.java
+++ b/src/main/java/loadbalancer/proxy/ClassArchiveTraining.java
@@ -5,14 +5,15 @@
 import loadbalancer.config.BalancerConfig;
 
 /**
- * Run by the build to learn which classes a balancer loads: it starts one and stops it again. The archive made of them
- * lets a start skip reading and verifying each, which is most of what a cold balancer spends its first second on.
+ * Run by the build to record the classes that a proxy loads: starts one and shuts it down again.
+ * With the archive made of them a start need not read and verify each class, which else takes most
+ * of a process's first second.
  */
 final class ClassArchiveTraining {
 
   private ClassArchiveTraining() {}
 
-  /** The only argument is a configuration file. */
+  /** The only argument is the path of a configuration file. */
   public static void main(String[] args) throws IOException {
     ProxyServer server = ProxyServer.start(BalancerConfig.read(Map.of("ROUTER_CONFIG", args[0])));
     server.shutDownGracefully();
--- /dev/null
+++ b/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
@@ -0,0 +1,99 @@
+package loadbalancer.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.DiscoveryClient;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.discovery.EndpointList;
+import loadbalancer.discovery.EndpointSource;
+
+/**
+ * Owns the discovery client and passes its updates on. Where the list is pushed by an agent on this
+ * machine it also owns the watch and its retries; where the list is polled, the decision engine
+ * does. Confined to the event loop, except for {@link #awaitFirstUpdate}.
+ */
+final class DiscoveryWatch {
+
+  private static final int CONNECT_TIMEOUT_MILLIS = 1000;
+
+  private final EventLoop loop;
+  private final boolean pushed;
+  private final DiscoveryClient client;
+  private final CountDownLatch firstUpdate = new CountDownLatch(1);
+  private RequestDispatcher dispatcher;
+  private int failures;
+
+  /**
+   * Makes a client that has not called discovery yet.
+   *
+   * @param bootstrap makes connections on the event loop
+   * @param pushed whether the list is pushed by an agent on this machine, instead of polled
+   */
+  DiscoveryWatch(
+      EventLoop loop,
+      Bootstrap bootstrap,
+      InetSocketAddress address,
+      boolean pushed,
+      EndpointDirectory directory) {
+    this.loop = loop;
+    this.pushed = pushed;
+    client =
+        new DiscoveryClient(
+            bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS),
+            address,
+            pushed,
+            directory::revision,
+            this::updated);
+  }
+
+  /** What the decision engine's actions on the endpoint list go to. */
+  EndpointSource source() {
+    return client;
+  }
+
+  /** Passes updates on from here on; starts the watch where the list is pushed. */
+  void start(RequestDispatcher dispatcher) {
+    this.dispatcher = dispatcher;
+    if (pushed) {
+      client.watch(true);
+    }
+  }
+
+  /** Follows discovery to another address. */
+  void moveTo(InetSocketAddress address) {
+    client.moveTo(address);
+  }
+
+  /**
+   * Blocks until discovery has sent a list, for no longer than this; false if it has not. For any
+   * other thread.
+   */
+  boolean awaitFirstUpdate(long nanos) {
+    return Latches.await(firstUpdate, nanos);
+  }
+
+  private void updated(UpdateKind kind, EndpointList list) {
+    if (kind != UpdateKind.FAILED) {
+      firstUpdate.countDown();
+    }
+    if (kind == UpdateKind.FAILED && pushed) {
+      retryWatch();
+    } else {
+      failures = 0;
+      dispatcher.endpointsUpdated(kind, list);
+    }
+  }
+
+  private void retryWatch() {
+    long backoffMillis = AgentRetryPolicy.backoffMillis(failures++);
+    // Spread, so that the instances on a machine do not all call their agent at the same time.
+    long delayMillis = ThreadLocalRandom.current().nextLong(backoffMillis / 2, backoffMillis);
+    loop.schedule(client::resumeWatch, delayMillis, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/src/main/java/loadbalancer/proxy/EngineRunner.java
@@ -0,0 +1,103 @@
+package loadbalancer.proxy;
+
+import io.netty.channel.EventLoop;
+import java.util.function.Consumer;
+import java.util.function.LongFunction;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.DecisionEngine;
+import loadbalancer.decision.api.Event;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.ClientDisconnected;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
+import loadbalancer.decision.api.UpdateKind;
+import loadbalancer.discovery.EndpointDirectory;
+import loadbalancer.net.MonotonicClock;
+
+/**
+ * Owns the decision engine: hands it one event at a time, and replaces it when it fails. Confined
+ * to the event loop.
+ */
+final class EngineRunner implements Consumer<Event> {
+
+  private static final Logger LOG = Logger.getLogger(EngineRunner.class.getName());
+
+  private final EventLoop loop;
+  private final MonotonicClock clock;
+  private final LongFunction<DecisionEngine> engines;
+  private final EventQueue events;
+  private final EndpointDirectory directory;
+  private final InFlightRequests requests;
+  private final RequestCompleter completer;
+  private final AttemptRunner attempts;
+  private final Consumer<Action> actions;
+  private DecisionEngine engine;
+
+  /**
+   * Makes the first engine.
+   *
+   * @param engines makes the engine of a generation, counted from 0
+   * @param actions carries out the engine's actions
+   */
+  EngineRunner(
+      EventLoop loop,
+      MonotonicClock clock,
+      LongFunction<DecisionEngine> engines,
+      EventQueue events,
+      EndpointDirectory directory,
+      InFlightRequests requests,
+      RequestCompleter completer,
+      AttemptRunner attempts,
+      Consumer<Action> actions) {
+    this.loop = loop;
+    this.clock = clock;
+    this.engines = engines;
+    this.events = events;
+    this.directory = directory;
+    this.requests = requests;
+    this.completer = completer;
+    this.attempts = attempts;
+    this.actions = actions;
+    engine = engines.apply(events.engineGeneration());
+  }
+
+  /** Has the engine handle an event, and carries out the actions that follow. */
+  @Override
+  public void accept(Event event) {
+    try {
+      engine.handle(clock.nowNanos(), event, actions);
+    } catch (RuntimeException e) {
+      LOG.log(Level.SEVERE, "engine_failed event=" + event.getClass().getSimpleName(), e);
+      recover(event);
+    }
+    if (event instanceof AttemptEnded ended) {
+      requests.removeIfOver(ended.requestId());
+    } else if (event instanceof ClientDisconnected disconnected) {
+      requests.removeIfOver(disconnected.requestId());
+    }
+  }
+
+  /**
+   * Recovers from an engine that threw, whose state is undefined: every request in flight gets its
+   * final response, and a new engine starts from the endpoint list as it is known. An engine that
+   * fails on its first event would do so forever; the process ends instead.
+   */
+  private void recover(Event failedOn) {
+    if (failedOn instanceof EndpointListUpdate update && update.kind() == UpdateKind.CACHED) {
+      LOG.severe("engine_start_failed process=ends");
+      completer.failAll();
+      // In a later turn, after the responses have been written.
+      loop.execute(() -> Runtime.getRuntime().halt(1));
+      return;
+    }
+    for (ProxiedRequest request : requests.all()) {
+      attempts.cancelAll(request);
+    }
+    completer.failAll();
+    requests.clear();
+    engine = engines.apply(events.startNextGeneration());
+    EndpointListUpdate known = directory.snapshot();
+    events.enqueue(() -> known);
+  }
+}
--- a/src/main/java/loadbalancer/proxy/ProxiedRequest.java
+++ b/src/main/java/loadbalancer/proxy/ProxiedRequest.java
@@ -1,99 +1,71 @@
 package loadbalancer.proxy;
 
-import loadbalancer.telemetry.TracedAttempt;
-import loadbalancer.telemetry.TracedRequest;
-import loadbalancer.downstream.DownstreamRequest;
-import loadbalancer.http.HttpProtocol;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.AsciiString;
 import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.RequestArrived;
 import loadbalancer.decision.api.Idempotence;
 import loadbalancer.decision.api.RequestClass;
-import loadbalancer.downstream.DownstreamListener;
-import loadbalancer.upstream.UpstreamCall;
-
-/** A client's request in hand, from when it is taken until it is answered and its last attempt has ended. */
-public final class ProxiedRequest implements TracedRequest {
-
-  /** Headers that speak of one connection, not of the request. */
-  private static final List<AsciiString> HOP_BY_HOP = List.of(HttpHeaderNames.CONNECTION,
-      AsciiString.cached("keep-alive"), AsciiString.cached("proxy-connection"), HttpHeaderNames.TE,
-      HttpHeaderNames.TRAILER, HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT);
-
-  private final DownstreamRequest request;
-  private final List<Attempt> attempts = new ArrayList<>(1);
-  /** What the decision engine knows it by: a client may use its own trace id again. */
-  public String id;
-  long acceptedAtNanos;
-  Future<?> guard;
-  int attemptsInFlight;
-  boolean clientHalfClosed;
-  private boolean ended;
-
-  /** One attempt at an endpoint. */
-  public static final class Attempt implements TracedAttempt {
-    final int number;
-    final long startedAtNanos;
-    UpstreamCall call;
-    AttemptStatus status;
-    long latencyNanos;
-
-    Attempt(int number, long startedAtNanos) {
-      this.number = number;
-      this.startedAtNanos = startedAtNanos;
-    }
+import loadbalancer.downstream.DownstreamRequest;
+import loadbalancer.telemetry.TracedRequest;
 
-    @Override
-    public long endpointId() {
-      return call.endpointId();
-    }
+/**
+ * A client's request, from its acceptance until it is completed and its last attempt has ended. It
+ * owns the received message, and releases it on completion. Confined to the event loop.
+ */
+final class ProxiedRequest implements TracedRequest {
 
-    @Override
-    public long startedAtNanos() {
-      return startedAtNanos;
-    }
+  private final DownstreamRequest downstream;
+  private final String id;
+  private final long acceptedAtNanos;
+  private final List<ProxiedAttempt> attempts = new ArrayList<>(1);
+  private Future<?> expiry;
+  private int attemptsInFlight;
+  private boolean clientHalfClosed;
+  private boolean completed;
 
-    @Override
-    public AttemptStatus status() {
-      return status;
-    }
-
-    @Override
-    public long latencyNanos() {
-      return latencyNanos;
-    }
+  /**
+   * Takes over a request.
+   *
+   * @param id what the decision engine knows the request by; a client may reuse its own trace id
+   */
+  ProxiedRequest(DownstreamRequest downstream, String id, long acceptedAtNanos) {
+    this.downstream = downstream;
+    this.id = id;
+    this.acceptedAtNanos = acceptedAtNanos;
   }
 
-  /** Takes over the request. */
-  public ProxiedRequest(DownstreamRequest request) {
-    this.request = request;
+  String id() {
+    return id;
   }
 
   /** What the client sent. */
   DownstreamRequest downstream() {
-    return request;
+    return downstream;
+  }
+
+  /** Its arrival, as the decision engine is told of it. */
+  RequestArrived arrival() {
+    return new RequestArrived(
+        id,
+        downstream.requestClass().name(),
+        downstream.tenant(),
+        downstream.affinityKey(),
+        downstream.deadlineNanos(),
+        downstream.workHintNanos(),
+        downstream.retry());
   }
 
   @Override
   public String traceId() {
-    return request.traceId();
+    return downstream.traceId();
   }
 
   @Override
   public RequestClass requestClass() {
-    return request.requestClass();
+    return downstream.requestClass();
   }
 
   @Override
@@ -103,79 +75,114 @@
 
   @Override
   public long deadlineNanos() {
-    return request.deadlineNanos();
+    return downstream.deadlineNanos();
   }
 
   @Override
   public long unreadNanos() {
-    return request.unreadNanos();
+    return downstream.unreadNanos();
   }
 
   @Override
-  public List<Attempt> attempts() {
+  public List<ProxiedAttempt> attempts() {
     return attempts;
   }
 
-  /** Whether it has its answer, or the client has gone. */
-  boolean isEnded() {
-    return ended;
+  /** Adds an attempt that is being started. */
+  void addAttempt(ProxiedAttempt attempt) {
+    attempts.add(attempt);
+    attemptsInFlight++;
   }
 
-  /** Whether its client is there, and has not left since what was last read of it. */
-  public boolean isAwaited() {
-    return !ended && !clientHalfClosed && request.response().isAwaited();
+  /** One of its attempts has ended, and the decision engine is about to be told. */
+  void attemptDelivered() {
+    attemptsInFlight--;
   }
 
-  /** Ends it without an answer: the client has gone. */
-  void abandon() {
-    if (!ended) {
-      ended = true;
-      request.message().release();
-      if (guard != null) {
-        guard.cancel(false);
-      }
-    }
+  /** Whether the decision engine has not been told of the end of some attempt. */
+  boolean hasAttemptsInFlight() {
+    return attemptsInFlight > 0;
   }
 
-  /** Whether an answer may still come of what has been written, or has come. */
-  boolean isSent() {
-    return attempts.stream().anyMatch(a -> a.status == null ? a.call.isWritten() : a.status == AttemptStatus.SUCCESS);
+  /** The timer that completes the request after its deadline; cancelled on completion. */
+  void expireBy(Future<?> timer) {
+    expiry = timer;
   }
 
-  boolean mayHaveRun() {
-    return attempts.stream().anyMatch(a -> a.status == null ? a.call.isWritten() : !a.status.provesNotRun());
+  /** The client has ended its sending. */
+  void markClientHalfClosed() {
+    clientHalfClosed = true;
   }
 
-  /** Until when it may be sent again: a keyed one that may have run already is dropped by its upstreams for so long only. */
-  long repeatBy() {
-    long by = Long.MAX_VALUE;
-    for (Attempt a : attempts) {
-      if (requestClass().idempotence() == Idempotence.IDEMPOTENCY_KEY && (a.status == null || !a.status.provesNotRun())) {
-        by = Math.min(by, a.startedAtNanos + requestClass().dedupWindowNanos());
+  boolean isClientHalfClosed() {
+    return clientHalfClosed;
+  }
+
+  /** Whether it has its final response, or its client has disconnected. */
+  boolean isCompleted() {
+    return completed;
+  }
+
+  /** Whether its client is there and waits, by everything that has arrived from it up to now. */
+  boolean isAwaited() {
+    return !completed && !clientHalfClosed && downstream.response().isAwaited();
+  }
+
+  /** Completes it without a response; a no-op where it is completed. */
+  void complete() {
+    if (!completed) {
+      completed = true;
+      downstream.message().release();
+      if (expiry != null) {
+        expiry.cancel(false);
       }
     }
-    return by;
   }
 
-  public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
-    abandon();
-    request.response().respond(status, retryAfterNanos, contentType, content);
+  /**
+   * Completes it with its final response; parameters as in {@link
+   * loadbalancer.downstream.ResponseSink#respond}.
+   */
+  void respond(
+      HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content) {
+    complete();
+    downstream.response().respond(status, retryAfterNanos, contentType, content);
   }
 
-  /** The request as it goes to an upstream. */
-  FullHttpRequest forward(long timeoutNanos) {
-    HttpHeaders headers = new DefaultHttpHeaders().set(request.message().headers());
-    for (String named : request.message().headers().getAll(HttpHeaderNames.CONNECTION)) {
-      for (String name : named.split(",")) {
-        headers.remove(name.trim());
+  /** Whether a response may still come of an attempt that has been written, or has come. */
+  boolean mayGetResponse() {
+    for (ProxiedAttempt attempt : attempts) {
+      if (attempt.mayRespond()) {
+        return true;
       }
     }
-    HOP_BY_HOP.forEach(headers::remove);
-    headers.set(HttpProtocol.TIMEOUT_HEADER, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
-    if (request.message().content().isReadable()) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.message().content().readableBytes());
+    return false;
+  }
+
+  /** Whether some endpoint may have run it, as far as is known now. */
+  boolean mayHaveRun() {
+    for (ProxiedAttempt attempt : attempts) {
+      if (attempt.mayHaveRun()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * Clock reading until which a further attempt may start. Endpoints recognise the repeat of a
+   * request by its idempotency key for a limited time only, and may have run it already.
+   */
+  long repeatDeadlineNanos() {
+    long deadline = Long.MAX_VALUE;
+    if (requestClass().idempotence() != Idempotence.IDEMPOTENCY_KEY) {
+      return deadline;
+    }
+    for (ProxiedAttempt attempt : attempts) {
+      if (!attempt.isProvenNotRun()) {
+        deadline = Math.min(deadline, attempt.startedAtNanos() + requestClass().dedupWindowNanos());
+      }
     }
-    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.message().method(), request.message().uri(),
-        request.message().content().retainedDuplicate(), headers, EmptyHttpHeaders.INSTANCE);
+    return deadline;
   }
 }
--- a/src/main/java/loadbalancer/proxy/ServeCommand.java
+++ b/src/main/java/loadbalancer/proxy/ServeCommand.java
@@ -6,44 +6,72 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import loadbalancer.config.BalancerConfig;
+import loadbalancer.telemetry.LogValues;
 import sun.misc.Signal;
 
-/** Entry point of the real balancer. */
+/** The {@code serve} subcommand: runs one proxy until SIGTERM. */
 public final class ServeCommand {
 
-  private ServeCommand() {}
+  /** One line an entry: time, level, logger, message. */
+  private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
+
+  private final Map<String, String> environment;
+  private final PrintStream err;
+  private final CompletableFuture<ProxyServer> listening = new CompletableFuture<>();
 
   /**
-   * Serves until SIGTERM, which ends the process with status 0; returns 1 where it can't start. SIGHUP makes it read its
-   * configuration again.
+   * Set by whichever comes first, SIGTERM or the listening: a process that is to end before it
+   * listens owes no client anything, and ends at once.
+   */
+  private final AtomicBoolean decided = new AtomicBoolean();
+
+  private ServeCommand(Map<String, String> environment, PrintStream err) {
+    this.environment = environment;
+    this.err = err;
+  }
+
+  /**
+   * Serves until SIGTERM. SIGHUP has the configuration read again.
+   *
+   * @param err where a start that fails is reported, in one line
+   * @return the process's exit status: 0 at the end of a graceful shutdown, 1 where the start fails
    */
   public static int run(Map<String, String> environment, PrintStream err) {
-    System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-    CompletableFuture<ProxyServer> started = new CompletableFuture<>();
-    // Set by what comes first, the end or the listening: a process that is told to end before it listens owes nobody anything.
-    AtomicBoolean decided = new AtomicBoolean();
-    // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
-    Signal.handle(new Signal("TERM"), signal -> {
-      if (decided.compareAndSet(false, true)) {
-        err.println("stopped before it served");
-        System.exit(0);
-      }
-      started.thenAccept(s -> new Thread(s::shutDownGracefully, "stop").start());
-    });
-    // Without a handler SIGHUP ends the virtual machine. One that comes early is carried out once the balancer serves.
-    Signal.handle(new Signal("HUP"), signal -> started.thenAccept(s -> s.reload(() -> BalancerConfig.read(environment))));
+    System.setProperty("java.util.logging.SimpleFormatter.format", LOG_FORMAT);
+    return new ServeCommand(environment, err).run();
+  }
+
+  private int run() {
+    // Handlers, not shutdown hooks: those run beside the one that ends logging, and the exit status
+    // would tell of
+    // the signal. Without a handler SIGHUP ends the process; one that comes early waits for the
+    // listening.
+    Signal.handle(new Signal("TERM"), signal -> terminate());
+    Signal.handle(new Signal("HUP"), signal -> listening.thenAccept(this::reload));
     try {
       ProxyServer server = ProxyServer.prepare(BalancerConfig.read(environment));
       if (!decided.compareAndSet(false, true)) {
         return 0;
       }
       server.listen();
-      started.complete(server);
+      listening.complete(server);
     } catch (IOException | RuntimeException e) {
-      err.println("can't start: " + BalancerConfig.describeProblem(e));
+      err.println("start_failed reason=" + LogValues.quote(BalancerConfig.describeProblem(e)));
       return 1;
     }
-    started.join().awaitTermination();
+    listening.join().awaitTermination();
     return 0;
   }
+
+  private void terminate() {
+    if (decided.compareAndSet(false, true)) {
+      err.println("terminated_before_listening");
+      System.exit(0);
+    }
+    listening.thenAccept(server -> new Thread(server::shutDownGracefully, "shutdown").start());
+  }
+
+  private void reload(ProxyServer server) {
+    server.reload(() -> BalancerConfig.read(environment));
+  }
 }
