--- a/src/test/java/loadbalancer/simulator/DecisionScenarios.java
+++ b/src/test/java/loadbalancer/simulator/DecisionScenarios.java
@@ -1,10 +1,10 @@
 package loadbalancer.simulator;
 
-import static loadbalancer.simulator.DecisionScenario.MILLISECOND;
+import static loadbalancer.drill.DecisionScenario.MILLISECOND;
 
-import loadbalancer.simulator.DecisionScenario.Incident;
-import loadbalancer.simulator.DecisionScenario.IncidentKind;
-import loadbalancer.simulator.DecisionScenario.Traffic;
+import loadbalancer.drill.DecisionScenario.Incident;
+import loadbalancer.drill.DecisionScenario.IncidentKind;
+import loadbalancer.drill.DecisionScenario.Traffic;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- a/src/test/java/loadbalancer/simulator/ScenarioPlayer.java
+++ b/src/test/java/loadbalancer/simulator/ScenarioPlayer.java
@@ -1,8 +1,8 @@
 package loadbalancer.simulator;
 
-import loadbalancer.simulator.DecisionScenario.Incident;
-import loadbalancer.simulator.DecisionScenario.IncidentKind;
-import loadbalancer.simulator.DecisionScenario.Traffic;
+import loadbalancer.drill.DecisionScenario.Incident;
+import loadbalancer.drill.DecisionScenario.IncidentKind;
+import loadbalancer.drill.DecisionScenario.Traffic;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
