--- a/src/test/java/loadbalancer/decision/EngineDriver.java
+++ b/src/test/java/loadbalancer/decision/EngineDriver.java
@@ -10,7 +10,6 @@
 import loadbalancer.decision.api.Action.SetTimer;
 import loadbalancer.decision.api.Action.StartAttempt;
 import loadbalancer.decision.api.AttemptStatus;
-import loadbalancer.decision.api.DecisionEngine;
 import loadbalancer.decision.api.DedupScope;
 import loadbalancer.decision.api.Endpoint;
 import loadbalancer.decision.api.EndpointState;
@@ -29,126 +28,157 @@
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.decision.api.WeightKind;
 
-/** Drives one instance by hand: a clock, its timers, and the actions of the last step. */
+/** Drives one engine by hand: its clock, its timers, and the attempts that it has in flight. */
 final class EngineDriver {
 
   static final long MS = 1_000_000L;
 
-  final DecisionEngine module;
+  final LoadBalancingEngine engine;
   final List<SetTimer> timers = new ArrayList<>();
-  final List<Sent> outstanding = new ArrayList<>();
-  final Map<String, Integer> refusals = new HashMap<>();
-  final Map<String, Integer> attempts = new HashMap<>();
+  final List<InFlightAttempt> inFlight = new ArrayList<>();
+
+  /** Rejections by the first letter of the request id. */
+  final Map<String, Integer> rejections = new HashMap<>();
+
   long now = 1_000_000_000_000L;
+  private final Map<String, Integer> attempts = new HashMap<>();
   private int ids;
 
-  /** An attempt that has no outcome yet. */
-  record Sent(String id, int attempt, long upstream, long at) {}
+  /** An attempt that has not ended yet. */
+  record InFlightAttempt(String requestId, int attempt, long endpointId, long startedAt) {}
 
   EngineDriver(Settings settings) {
     this(settings, 7);
   }
 
   EngineDriver(Settings settings, long seed) {
-    module = new LoadBalancingEngine(settings, seed);
+    engine = new LoadBalancingEngine(settings, seed);
   }
 
-  static RequestClass type(String name, Idempotence effect, DedupScope scope) {
-    return new RequestClass(name, effect, scope, 2000 * MS, 400 * MS, 0, 2000 * MS, 1, 0, false);
+  /** A class with a latency objective of 400 ms and a deadline and dedup window of 2 s. */
+  static RequestClass requestClass(String name, Idempotence idempotence, DedupScope scope) {
+    return new RequestClass(
+        name, idempotence, scope, 2000 * MS, 400 * MS, 0, 2000 * MS, 1, 0, false);
   }
 
-  static Settings settings(boolean onRequest, List<Tenant> tenants, RequestClass... classes) {
-    return new Settings(0, 1, "a", List.of(classes), tenants,
+  static Settings settings(boolean polled, List<Tenant> tenants, RequestClass... classes) {
+    return new Settings(
+        0,
+        1,
+        "a",
+        List.of(classes),
+        tenants,
         new Limits(true, false, false, true, true, 1000 * MS, 4, 10_000, 1, 200 * MS),
-        new ServiceContract(8 * MS, onRequest ? 10_000 * MS : 0, 250 * MS, 0.3, 8000 * MS, 3, 3000 * MS),
-        new Prices(0, 0, 0), onRequest, WeightKind.NONE, 0.2, true, MS);
+        new ServiceContract(
+            8 * MS, polled ? 10_000 * MS : 0, 250 * MS, 0.3, 8000 * MS, 3, 3000 * MS),
+        new Prices(0, 0, 0),
+        polled,
+        WeightKind.NONE,
+        0.2,
+        true,
+        MS);
   }
 
-  static Settings safe() {
-    return settings(false, List.of(), type("c", Idempotence.IDEMPOTENT, DedupScope.ALL));
+  /** Settings with the one class "c" of idempotent requests, and no tenants. */
+  static Settings idempotentOnly() {
+    return settings(false, List.of(), requestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL));
   }
 
-  static Endpoint up(long id) {
+  static Endpoint readyEndpoint(long id) {
     return new Endpoint(id, "a", 0, EndpointState.READY, 0, 1);
   }
 
-  List<Action> step(Event event) {
+  List<Action> handle(Event event) {
     List<Action> actions = new ArrayList<>();
-    module.handle(now, event, actions::add);
+    engine.handle(now, event, actions::add);
     for (Action action : actions) {
-      if (action instanceof SetTimer t) {
-        timers.add(t);
-      } else if (action instanceof RejectRequest r) {
-        refusals.merge(r.requestId().substring(0, 1), 1, Integer::sum);
-      } else if (action instanceof StartAttempt s) {
-        outstanding.add(new Sent(s.requestId(), attempts.merge(s.requestId(), 1, Integer::sum) - 1, s.endpointId(), now));
+      if (action instanceof SetTimer timer) {
+        timers.add(timer);
+      } else if (action instanceof RejectRequest rejection) {
+        rejections.merge(rejection.requestId().substring(0, 1), 1, Integer::sum);
+      } else if (action instanceof StartAttempt start) {
+        String id = start.requestId();
+        int attempt = attempts.merge(id, 1, Integer::sum) - 1;
+        inFlight.add(new InFlightAttempt(id, attempt, start.endpointId(), now));
       }
     }
     return actions;
   }
 
-  List<Action> list(UpdateKind kind, Endpoint... entries) {
-    return step(new EndpointListUpdate(kind, List.of(entries)));
+  List<Action> updateEndpoints(UpdateKind kind, Endpoint... entries) {
+    return handle(new EndpointListUpdate(kind, List.of(entries)));
   }
 
-  EngineDriver upstreams(int n) {
-    Endpoint[] entries = new Endpoint[n];
-    for (int i = 0; i < n; i++) {
-      entries[i] = up(100 + i);
+  /** Begins with so many ready endpoints, whose ids count up from 100. */
+  EngineDriver withEndpoints(int count) {
+    Endpoint[] entries = new Endpoint[count];
+    for (int i = 0; i < count; i++) {
+      entries[i] = readyEndpoint(100 + i);
     }
-    list(UpdateKind.CACHED, entries);
+    updateEndpoints(UpdateKind.CACHED, entries);
     return this;
   }
 
-  String nextId() {
+  String nextRequestId() {
     return "r" + ids++;
   }
 
-  List<Action> request(String id, String type, String key) {
-    return request(id, type, null, key, 0);
+  List<Action> request(String id, String className, String key) {
+    return request(id, className, null, key, 0);
   }
 
-  List<Action> request(String id, String type, String tenant, String key, long hint) {
-    return step(new RequestArrived(id, type, tenant, key, now + 2000 * MS, hint, false));
+  List<Action> request(String id, String className, String tenant, String key, long hint) {
+    return handle(new RequestArrived(id, className, tenant, key, now + 2000 * MS, hint, false));
   }
 
-  /** Ends the attempt of a request at an upstream. */
-  List<Action> end(String id, long upstream, AttemptStatus status, long latencyNanos) {
-    Sent sent = outstanding.stream().filter(s -> s.id().equals(id) && s.upstream() == upstream).findFirst().get();
-    return end(sent, status, latencyNanos);
+  /** Ends the attempt of a request at an endpoint. */
+  List<Action> endAttempt(String id, long endpoint, AttemptStatus status, long latencyNanos) {
+    InFlightAttempt ended =
+        inFlight.stream()
+            .filter(a -> a.requestId().equals(id) && a.endpointId() == endpoint)
+            .findFirst()
+            .get();
+    return endAttempt(ended, status, latencyNanos);
   }
 
-  List<Action> end(Sent sent, AttemptStatus status, long latencyNanos) {
-    outstanding.remove(sent);
-    return step(new AttemptEnded(sent.id(), sent.attempt(), sent.upstream(), status, latencyNanos,
-        status == AttemptStatus.SUCCESS, Map.of()));
+  List<Action> endAttempt(InFlightAttempt ended, AttemptStatus status, long latencyNanos) {
+    inFlight.remove(ended);
+    return handle(
+        new AttemptEnded(
+            ended.requestId(),
+            ended.attempt(),
+            ended.endpointId(),
+            status,
+            latencyNanos,
+            status == AttemptStatus.SUCCESS,
+            Map.of()));
   }
 
-  /** Lets time pass with upstreams that end every attempt after the latency. */
-  void serveFor(long nanos, AttemptStatus status, long latencyNanos) {
+  /** Lets time pass with endpoints that end every attempt after a latency. */
+  void completeFor(long nanos, AttemptStatus status, long latencyNanos) {
     for (long end = now + nanos; now < end; ) {
-      pass(Math.min(5 * MS, end - now));
-      for (Sent s : List.copyOf(outstanding)) {
-        if (now - s.at() >= latencyNanos && outstanding.contains(s)) {
-          end(s, status, now - s.at());
+      advance(Math.min(5 * MS, end - now));
+      for (InFlightAttempt attempt : List.copyOf(inFlight)) {
+        if (now - attempt.startedAt() >= latencyNanos && inFlight.contains(attempt)) {
+          endAttempt(attempt, status, now - attempt.startedAt());
         }
       }
     }
   }
 
-  /** Sends one request and has it served after a latency; the upstream it went to, or -1 where it was not sent. */
+  /** Serves one request after a latency; the endpoint that served it, or -1 where none did. */
   long serve(String key, long latencyNanos) {
-    String id = nextId();
-    long upstream = sentTo(request(id, "c", key));
-    if (upstream >= 0) {
-      pass(latencyNanos);
-      end(id, upstream, AttemptStatus.SUCCESS, latencyNanos);
+    String id = nextRequestId();
+    long endpoint = attemptedEndpoint(request(id, "c", key));
+    if (endpoint >= 0) {
+      advance(latencyNanos);
+      endAttempt(id, endpoint, AttemptStatus.SUCCESS, latencyNanos);
     }
-    return upstream;
+    return endpoint;
   }
 
   /** Lets time pass, firing the timers that come due; the actions of all of them. */
-  List<Action> pass(long nanos) {
+  List<Action> advance(long nanos) {
     List<Action> actions = new ArrayList<>();
     long end = now + nanos;
     while (true) {
@@ -158,17 +188,22 @@
       }
       timers.remove(due);
       now = Math.max(now, due.atNanos());
-      actions.addAll(step(new TimerFired(due.token())));
+      actions.addAll(handle(new TimerFired(due.token())));
     }
     now = end;
     return actions;
   }
 
-  static long sentTo(List<Action> actions) {
-    return actions.stream().filter(a -> a instanceof StartAttempt).mapToLong(a -> ((StartAttempt) a).endpointId()).findFirst().orElse(-1);
+  /** The endpoint of the first attempt among some actions, or -1 where there is none. */
+  static long attemptedEndpoint(List<Action> actions) {
+    return actions.stream()
+        .filter(action -> action instanceof StartAttempt)
+        .mapToLong(action -> ((StartAttempt) action).endpointId())
+        .findFirst()
+        .orElse(-1);
   }
 
-  static boolean has(List<Action> actions, Class<? extends Action> kind) {
+  static boolean contains(List<Action> actions, Class<? extends Action> kind) {
     return actions.stream().anyMatch(kind::isInstance);
   }
 }
--- /dev/null
+++ b/src/test/java/loadbalancer/decision/OutlierDetectorTest.java
@@ -0,0 +1,167 @@
+package loadbalancer.decision;
+
+import static loadbalancer.decision.EngineDriver.MS;
+import static loadbalancer.decision.EngineDriver.attemptedEndpoint;
+import static loadbalancer.decision.EngineDriver.contains;
+import static loadbalancer.decision.EngineDriver.idempotentOnly;
+import static loadbalancer.decision.EngineDriver.requestClass;
+import static loadbalancer.decision.EngineDriver.settings;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.CancelAttempt;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Idempotence;
+import org.junit.jupiter.api.Test;
+
+/** Ejected, silent, unreliable and slow endpoints. */
+class OutlierDetectorTest {
+
+  private static Map<String, Long> owners(EngineDriver driver, int keys) {
+    Map<String, Long> owners = new HashMap<>();
+    for (int i = 0; i < keys; i++) {
+      owners.put("k" + i, driver.serve("k" + i, MS));
+    }
+    return owners;
+  }
+
+  /** Met once a second, such an endpoint never fails three times in a row. */
+  @Test
+  void avoidsUnreliableEndpointsForNonIdempotentRequests() {
+    EngineDriver driver =
+        new EngineDriver(
+                settings(
+                    false,
+                    List.of(),
+                    requestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL),
+                    requestClass("u", Idempotence.NON_IDEMPOTENT, DedupScope.ALL)))
+            .withEndpoints(6);
+    int met = 0;
+    int lost = 0;
+    for (int i = 0; i < 900; i++) {
+      boolean unsafe = i % 3 == 0;
+      String id = driver.nextRequestId();
+      long to = attemptedEndpoint(driver.request(id, unsafe ? "u" : "c", "k" + i));
+      driver.advance(5 * MS);
+      boolean fails = to == 103 && met++ % 2 == 0;
+      lost += fails && unsafe && i > 100 ? 1 : 0;
+      long again =
+          attemptedEndpoint(
+              driver.endAttempt(
+                  id, to, fails ? AttemptStatus.ERROR : AttemptStatus.SUCCESS, 5 * MS));
+      if (again >= 0) {
+        driver.endAttempt(id, again, AttemptStatus.SUCCESS, 5 * MS);
+      }
+      driver.advance(100 * MS);
+    }
+    assertTrue(met > 20, "still met by requests that may be repeated: " + met);
+    assertEquals(0, lost, "publishes that failed there");
+  }
+
+  /** The endpoint froze, and nothing has timed out yet. */
+  @Test
+  void avoidsASilentEndpointAndHedgesItsRequest() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(4);
+    for (int i = 0; i < 400; i++) {
+      driver.serve("k" + i % 40, 10 * MS);
+    }
+    long frozen = driver.serve("k1", 10 * MS);
+    String id = driver.nextRequestId();
+    assertEquals(frozen, attemptedEndpoint(driver.request(id, "c", "k1")));
+    List<Action> later = driver.advance(200 * MS);
+    List<StartAttempt> hedges =
+        later.stream().filter(a -> a instanceof StartAttempt).map(a -> (StartAttempt) a).toList();
+    assertEquals(1, hedges.size(), "one hedge");
+    assertEquals(id, hedges.get(0).requestId());
+    assertNotEquals(frozen, hedges.get(0).endpointId());
+    assertNotEquals(frozen, driver.serve("k1", 10 * MS));
+    List<Action> end =
+        driver.endAttempt(id, hedges.get(0).endpointId(), AttemptStatus.SUCCESS, 10 * MS);
+    assertTrue(contains(end, CancelAttempt.class), "the slower attempt is cancelled");
+  }
+
+  /** One short response would make every heavier request a silence. */
+  @Test
+  void endpointsWithFewResponsesAreNotSilent() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(4);
+    for (int i = 0; i < 3; i++) {
+      driver.serve("k1", 2 * MS);
+    }
+    driver.request(driver.nextRequestId(), "c", "k1");
+    assertTrue(
+        driver.advance(300 * MS).stream().noneMatch(a -> a instanceof StartAttempt), "no hedge");
+  }
+
+  /** Keys leave an endpoint that hangs before the time-outs, which may come seconds later. */
+  @Test
+  void attemptPastItsObjectiveMakesItsEndpointSlow() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(4);
+    for (int i = 0; i < 100; i++) {
+      driver.serve("k" + i, 20 * MS);
+    }
+    Map<String, Long> before = owners(driver, 100);
+    before.forEach(
+        (key, owner) -> {
+          if (owner == 100 && driver.inFlight.size() < 3) {
+            driver.request(driver.nextRequestId(), "c", key);
+          }
+        });
+    driver.advance(900 * MS);
+    long kept = owners(driver, 100).values().stream().filter(u -> u == 100).count();
+    long had = before.values().stream().filter(u -> u == 100).count();
+    assertTrue(kept < 0.7 * had, "keys kept while nothing has timed out: " + kept + " of " + had);
+  }
+
+  /** An endpoint that fails fast looks idle otherwise. */
+  @Test
+  void ejectsAfterThreeFailuresInARowAndTriesAgain() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(6);
+    for (int i = 0; i < 200; i++) {
+      driver.serve("k" + i, MS);
+    }
+    long bad = driver.serve("k0", MS);
+    int toBad = 0;
+    for (int i = 0; i < 100; i++) {
+      String id = driver.nextRequestId();
+      long to = attemptedEndpoint(driver.request(id, "c", "k0"));
+      while (to == bad) {
+        toBad++;
+        to = attemptedEndpoint(driver.endAttempt(id, bad, AttemptStatus.CONNECT_FAILED, MS));
+      }
+      driver.advance(MS);
+      driver.endAttempt(id, to, AttemptStatus.SUCCESS, MS);
+    }
+    assertEquals(3, toBad, "three failures eject");
+    driver.advance(600 * MS);
+    assertEquals(bad, driver.serve("k0", MS), "a trial after the ejection");
+    assertEquals(bad, driver.serve("k0", MS), "back after it");
+  }
+
+  /** No load bound shows it where an instance has under one request in flight at each. */
+  @Test
+  void slowEndpointRetainsPartOfItsKeysAndRegainsThem() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(6);
+    Map<String, Long> before = owners(driver, 300);
+    for (int i = 0; i < 900; i++) {
+      String id = driver.nextRequestId();
+      long to = attemptedEndpoint(driver.request(id, "c", "k" + i % 300));
+      driver.advance(to == 100 ? 150 * MS : 30 * MS);
+      driver.endAttempt(id, to, AttemptStatus.SUCCESS, to == 100 ? 150 * MS : 30 * MS);
+      List.copyOf(driver.inFlight)
+          .forEach(hedge -> driver.endAttempt(hedge, AttemptStatus.CANCELLED, 0));
+    }
+    long kept = owners(driver, 300).entrySet().stream().filter(e -> e.getValue() == 100).count();
+    long had = before.values().stream().filter(u -> u == 100).count();
+    assertTrue(kept > 0 && kept < 0.6 * had, "keys kept " + kept + " of " + had);
+    driver.advance(60_000 * MS);
+    long back = owners(driver, 300).values().stream().filter(u -> u == 100).count();
+    assertTrue(back > 0.9 * had, "back after a minute " + back + " of " + had);
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/decision/RequestLifecycleTest.java
@@ -0,0 +1,116 @@
+package loadbalancer.decision;
+
+import static loadbalancer.decision.EngineDriver.MS;
+import static loadbalancer.decision.EngineDriver.attemptedEndpoint;
+import static loadbalancer.decision.EngineDriver.contains;
+import static loadbalancer.decision.EngineDriver.idempotentOnly;
+import static loadbalancer.decision.EngineDriver.readyEndpoint;
+import static loadbalancer.decision.EngineDriver.requestClass;
+import static loadbalancer.decision.EngineDriver.settings;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import loadbalancer.decision.api.Action;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.Action.WatchEndpoints;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event.ResponseStarted;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.UpdateKind;
+import org.junit.jupiter.api.Test;
+
+/** Final answers, attempts, and the endpoint list they depend on. */
+class RequestLifecycleTest {
+
+  @Test
+  void rejectsRequestsWhereNoEndpointIsLeft() {
+    EngineDriver driver = new EngineDriver(idempotentOnly());
+    driver.updateEndpoints(UpdateKind.CACHED);
+    assertTrue(driver.request("r", "c", "k").stream().noneMatch(a -> a instanceof StartAttempt));
+    assertTrue(contains(driver.advance(2000 * MS), RejectRequest.class));
+  }
+
+  @Test
+  void stopsAtTheAttemptLimitAndLeavesAnsweredRequestsAlone() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(12);
+    long to = attemptedEndpoint(driver.request("r", "c", "k"));
+    int attempts = 0;
+    while (to >= 0) {
+      attempts++;
+      to = attemptedEndpoint(driver.endAttempt("r", to, AttemptStatus.REJECTED, MS));
+    }
+    assertEquals(4, attempts);
+    assertFalse(contains(driver.advance(3000 * MS), StartAttempt.class));
+  }
+
+  /** With every attempt failing, retries would be a storm. */
+  @Test
+  void retryBudgetKeepsRetriesAFractionOfTheRequests() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(12);
+    int attempts = 0;
+    for (int i = 0; i < 500; i++) {
+      String id = driver.nextRequestId();
+      long to = attemptedEndpoint(driver.request(id, "c", "k" + i));
+      while (to >= 0) {
+        attempts++;
+        to = attemptedEndpoint(driver.endAttempt(id, to, AttemptStatus.REJECTED, MS));
+      }
+      driver.advance(MS);
+    }
+    assertTrue(attempts > 500 && attempts < 500 * 1.2 + 40, "attempts: " + attempts);
+  }
+
+  @Test
+  void watchesTheEndpointListAndAgainAfterAFailure() {
+    EngineDriver driver =
+        new EngineDriver(
+            settings(true, List.of(), requestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL)));
+    assertTrue(
+        contains(
+            driver.updateEndpoints(UpdateKind.CACHED, readyEndpoint(1)), WatchEndpoints.class));
+    for (int i = 0; i < 8; i++) {
+      driver.updateEndpoints(UpdateKind.FAILED);
+      assertTrue(
+          contains(driver.advance(1100 * MS), WatchEndpoints.class),
+          "watches again soon enough for what it may have missed");
+    }
+    assertFalse(
+        contains(
+            driver.updateEndpoints(UpdateKind.FULL, readyEndpoint(1), readyEndpoint(2)),
+            WatchEndpoints.class));
+    assertFalse(contains(driver.advance(9000 * MS), WatchEndpoints.class), "does not watch twice");
+  }
+
+  @Test
+  void usesAnEndpointAgainThatComesBackWithANewStart() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(1);
+    driver.updateEndpoints(UpdateKind.FULL);
+    assertEquals(-1, driver.serve("k", MS));
+    driver.updateEndpoints(
+        UpdateKind.DELTA, new Endpoint(100, "a", 0, EndpointState.READY, driver.now, 1));
+    driver.advance(2000 * MS);
+    assertEquals(100, driver.serve("k", MS));
+  }
+
+  @Test
+  void startedStreamHasNoDeadline() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(1);
+    driver.request("r", "c", "k");
+    driver.handle(new ResponseStarted("r", 0, 100, MS));
+    List<Action> later = driver.advance(5000 * MS);
+    assertTrue(
+        later.stream()
+            .noneMatch(
+                a ->
+                    a instanceof FailRequest
+                        || a instanceof RejectRequest
+                        || a instanceof StartAttempt));
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/decision/SlowStartTest.java
@@ -0,0 +1,128 @@
+package loadbalancer.decision;
+
+import static loadbalancer.decision.EngineDriver.MS;
+import static loadbalancer.decision.EngineDriver.attemptedEndpoint;
+import static loadbalancer.decision.EngineDriver.idempotentOnly;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Arrays;
+import java.util.List;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Endpoint;
+import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Settings;
+import loadbalancer.decision.api.UpdateKind;
+import org.junit.jupiter.api.Test;
+
+/** What one instance sends to a warming endpoint. */
+class SlowStartTest {
+
+  @Test
+  void warmingEndpointGetsItsPartOfTheTraffic() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(9);
+    for (int i = 0; i < 2000; i++) {
+      driver.serve("k" + i, MS);
+    }
+    driver.updateEndpoints(
+        UpdateKind.DELTA, new Endpoint(500, "a", 0, EndpointState.READY, driver.now, 1));
+    int attempts = 0;
+    int total = 0;
+    for (int i = 0; i < 3000; i++) {
+      attempts += driver.serve("k" + i, MS) == 500 ? 1 : 0;
+      total++;
+    }
+    double part = attempts / (total / 10.0);
+    assertTrue(
+        part > 0.1 && part < 0.3 + 0.7 * 3 / 8 + 0.1,
+        "part of another endpoint's attempts: " + part);
+  }
+
+  /** Were every budget to begin at 0, the endpoint would idle for seconds and then get them all. */
+  @Test
+  void spreadsTheFirstAttemptsOfManyInstancesOverTime() {
+    Settings one = idempotentOnly();
+    Settings many =
+        new Settings(
+            0,
+            20,
+            one.zone(),
+            one.classes(),
+            one.tenants(),
+            one.limits(),
+            one.contract(),
+            one.prices(),
+            false,
+            one.weightKind(),
+            one.overQuotaWeight(),
+            one.keyAffinity(),
+            one.tickNanos());
+    int[] attempts = new int[4];
+    for (int instance = 0; instance < 20; instance++) {
+      EngineDriver driver = new EngineDriver(many, instance).withEndpoints(10);
+      for (int i = 0; i < 420; i++) {
+        if (i == 400) {
+          driver.updateEndpoints(
+              UpdateKind.DELTA, new Endpoint(500, "a", 0, EndpointState.READY, driver.now, 1));
+        }
+        boolean warming = driver.serve("k" + instance + i, MS) == 500;
+        attempts[Math.max(0, i / 5 - 80)] += warming ? 1 : 0;
+        driver.advance(99 * MS);
+      }
+    }
+    // Half a second holds 100 requests of the fleet, 9 for one of eleven endpoints, 3 to 6 for one
+    // that is warming.
+    String message =
+        "attempts at a warming endpoint in each of its first half seconds: "
+            + Arrays.toString(attempts);
+    assertTrue(Arrays.stream(attempts).sum() >= 5, message);
+    assertTrue(Arrays.stream(attempts).max().getAsInt() <= 10, message);
+  }
+
+  /** It becomes fast by what it serves, and its budget limits that already. */
+  @Test
+  void warmingEndpointRetainsItsKeysThoughItIsSlow() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    for (int i = 0; i < 1000; i++) {
+      driver.serve("k" + i, 10 * MS);
+    }
+    driver.updateEndpoints(
+        UpdateKind.DELTA, new Endpoint(200, "a", 0, EndpointState.READY, driver.now, 1));
+    int attempts = 0;
+    for (int i = 0; i < 200; i++) {
+      String id = driver.nextRequestId();
+      long to = attemptedEndpoint(driver.request(id, "c", "k" + i));
+      driver.advance(to == 200 ? 25 * MS : 10 * MS);
+      driver.endAttempt(id, to, AttemptStatus.SUCCESS, to == 200 ? 25 * MS : 10 * MS);
+      attempts += to == 200 ? 1 : 0;
+    }
+    // Its even part is 33; its warming fraction grows from 0.3 to 0.5 meanwhile, which fits its
+    // latency, that of 2.5 others.
+    assertTrue(attempts >= 9, "attempts at it: " + attempts);
+  }
+
+  /** It would be busy for seconds with as much as the others get at once. */
+  @Test
+  void warmingEndpointHasItsPartOfTheLoadBound() {
+    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    for (int i = 0; i < 600; i++) {
+      driver.request(driver.nextRequestId(), "c", "k" + i);
+      driver.completeFor(5 * MS, AttemptStatus.SUCCESS, 100 * MS);
+    }
+    driver.updateEndpoints(
+        UpdateKind.DELTA, new Endpoint(200, "a", 0, EndpointState.READY, driver.now, 1));
+    long most = 0;
+    for (int i = 0; i < 400; i++) {
+      driver.request(driver.nextRequestId(), "c", "n" + i);
+      most = Math.max(most, driver.inFlight.stream().filter(s -> s.endpointId() == 200).count());
+      driver.advance(MS);
+      for (EngineDriver.InFlightAttempt attempt : List.copyOf(driver.inFlight)) {
+        if (attempt.endpointId() != 200 && driver.now - attempt.startedAt() >= 40 * MS) {
+          driver.endAttempt(attempt, AttemptStatus.SUCCESS, driver.now - attempt.startedAt());
+        }
+      }
+    }
+    assertTrue(
+        most >= 1 && most <= 4,
+        "in flight at 0.3 of its capacity, where another endpoint has 8: " + most);
+  }
+}
--- /dev/null
+++ b/src/test/java/loadbalancer/decision/TenantQuotasTest.java
@@ -0,0 +1,89 @@
+package loadbalancer.decision;
+
+import static loadbalancer.decision.EngineDriver.MS;
+import static loadbalancer.decision.EngineDriver.requestClass;
+import static loadbalancer.decision.EngineDriver.settings;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.Tenant;
+import org.junit.jupiter.api.Test;
+
+/** What exceeds a quota, and what becomes of it. */
+class TenantQuotasTest {
+
+  /**
+   * Rejections of tenant a, each tenant's part being one a second, where each of some asks for ten.
+   */
+  private static int rejectionsOf(String tenant, String... asking) {
+    EngineDriver driver =
+        new EngineDriver(
+                settings(
+                    false,
+                    List.of(new Tenant("a", 1, 1), new Tenant("b", 1, 1), new Tenant("c", 1, 1)),
+                    requestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL)))
+            .withEndpoints(5);
+    for (int i = 0; i < 300; i++) {
+      for (String t : asking) {
+        driver.request(t + driver.nextRequestId(), "c", t, "k" + i % 50, 0);
+      }
+      driver.completeFor(100 * MS, AttemptStatus.SUCCESS, 140 * MS);
+    }
+    return driver.rejections.getOrDefault(tenant, 0);
+  }
+
+  @Test
+  void rejectsWhatExceedsAQuotaFirst() {
+    EngineDriver driver =
+        new EngineDriver(
+                settings(
+                    false,
+                    List.of(new Tenant("big", 0.5, 10), new Tenant("small", 0.5, 1000)),
+                    requestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL)))
+            .withEndpoints(5);
+    for (int i = 0; i < 2000; i++) {
+      for (String tenant : List.of("big", "small")) {
+        driver.request(tenant + driver.nextRequestId(), "c", tenant, "k" + i % 50, 0);
+      }
+      driver.completeFor(20 * MS, AttemptStatus.SUCCESS, 140 * MS);
+    }
+    assertTrue(
+        driver.rejections.getOrDefault("b", 0) > 300, "rejected over quota: " + driver.rejections);
+    assertEquals(0, driver.rejections.getOrDefault("s", 0), "rejected within its quota");
+  }
+
+  @Test
+  void aFewRequestsThatArriveTogetherDoNotExceedASmallQuota() {
+    EngineDriver driver =
+        new EngineDriver(
+                settings(
+                    false,
+                    List.of(new Tenant("t", 1, 0.5)),
+                    requestClass("c", Idempotence.IDEMPOTENT, DedupScope.ALL)))
+            .withEndpoints(1);
+    for (int i = 0; i < 200; i++) {
+      // Slow enough for the line of requests over quota, healthy for those within.
+      driver.request(driver.nextRequestId(), "c", "k" + i % 50);
+      driver.completeFor(190 * MS, AttemptStatus.SUCCESS, 180 * MS);
+    }
+    for (int i = 0; i < 8; i++) {
+      driver.request("t" + driver.nextRequestId(), "c", "t", "k" + i, 0);
+      driver.completeFor(190 * MS, AttemptStatus.SUCCESS, 180 * MS);
+    }
+    assertEquals(0, driver.rejections.getOrDefault("t", 0));
+  }
+
+  /** Where one instance gets far more than its even part of the traffic of all tenants. */
+  @Test
+  void grantsMoreOfTheQuotasWhereItCarriesMoreOfTheTraffic() {
+    int all = rejectionsOf("a", "a", "b", "c");
+    int alone = rejectionsOf("a", "a");
+    assertTrue(
+        all < alone / 2,
+        "rejected " + all + " where all ask ten times their parts, " + alone + " where one does");
+  }
+}
