--- a/src/test/java/loadbalancer/decision/OverloadTest.java
+++ b/src/test/java/loadbalancer/decision/OverloadTest.java
@@ -68,6 +68,7 @@
   private Settings settings;
   private LoadBalancingEngine engine;
   private long now = 5_000_000 * MS;
+  private int ids;
 
   @ParameterizedTest
   @ValueSource(
@@ -82,7 +83,6 @@
       change(i);
     }
     handle(new EndpointListUpdate(UpdateKind.CACHED, List.copyOf(fleet.values())));
-    int id = 0;
     for (int round = 0; round < 3000; round++) {
       now += random.nextLong(6) * MS;
       fire();
@@ -95,20 +95,7 @@
       } else if (random.nextInt(100) < 1) {
         handle(new EndpointListUpdate(UpdateKind.FAILED, List.of()));
       }
-      for (int n = random.nextInt(4); n > 0; n--) {
-        RequestClass type = settings.classes().get(random.nextInt(settings.classes().size()));
-        long deadline = now + (20 + random.nextInt(600)) * MS;
-        entries.put("r" + id, new Entry(type, deadline));
-        handle(
-            new RequestArrived(
-                "r" + id++,
-                type.name(),
-                random.nextBoolean() ? "t" : null,
-                random.nextInt(5) == 0 ? null : "k" + random.nextInt(30),
-                deadline,
-                0,
-                false));
-      }
+      arrivals();
       outcomes(40);
     }
     for (int round = 0; round < 300; round++) {
@@ -116,6 +103,27 @@
       fire();
       outcomes(100);
     }
+    assertNothingIsLeft();
+  }
+
+  private void arrivals() {
+    for (int n = random.nextInt(4); n > 0; n--) {
+      RequestClass type = settings.classes().get(random.nextInt(settings.classes().size()));
+      long deadline = now + (20 + random.nextInt(600)) * MS;
+      entries.put("r" + ids, new Entry(type, deadline));
+      handle(
+          new RequestArrived(
+              "r" + ids++,
+              type.name(),
+              random.nextBoolean() ? "t" : null,
+              random.nextInt(5) == 0 ? null : "k" + random.nextInt(30),
+              deadline,
+              0,
+              false));
+    }
+  }
+
+  private void assertNothingIsLeft() {
     entries.forEach((name, e) -> assertTrue(e.answered, "no final answer for " + name));
     long idle = timers.size();
     now += 60_000 * MS;
@@ -127,7 +135,7 @@
     assertEquals(0, engine.lifecycle.queue.size(), "requests still queued");
   }
 
-  private Settings settings() {
+  private List<RequestClass> classes() {
     List<RequestClass> classes = new ArrayList<>();
     for (Idempotence idempotence : Idempotence.values()) {
       for (DedupScope scope : DedupScope.values()) {
@@ -145,6 +153,11 @@
                 false));
       }
     }
+    return classes;
+  }
+
+  private Settings settings() {
+    List<RequestClass> classes = classes();
     return new Settings(
         0,
         1 + random.nextInt(3),
@@ -198,95 +211,96 @@
 
   /** Ends some attempts: those past the deadline time out, others end at random. */
   private void outcomes(int percent) {
-    for (Map.Entry<String, Entry> entry : List.copyOf(entries.entrySet())) {
-      Entry e = entry.getValue();
-      for (int i = 0; i < e.attempts.size(); i++) {
-        boolean late = now >= e.deadline;
-        if (e.statuses.get(i) == null && (late || random.nextInt(100) < percent / 4)) {
+    for (Map.Entry<String, Entry> known : List.copyOf(entries.entrySet())) {
+      Entry entry = known.getValue();
+      for (int i = 0; i < entry.attempts.size(); i++) {
+        boolean late = now >= entry.deadline;
+        if (entry.statuses.get(i) == null && (late || random.nextInt(100) < percent / 4)) {
           AttemptStatus status =
-              e.answered && random.nextBoolean()
+              entry.answered && random.nextBoolean()
                   ? AttemptStatus.CANCELLED
                   : late
                       ? AttemptStatus.TIMEOUT
                       : random.nextInt(2) == 0
                           ? AttemptStatus.SUCCESS
                           : AttemptStatus.values()[random.nextInt(AttemptStatus.values().length)];
-          e.statuses.set(i, status);
-          e.answered |= status == AttemptStatus.SUCCESS;
+          entry.statuses.set(i, status);
+          entry.answered |= status == AttemptStatus.SUCCESS;
           handle(
               new AttemptEnded(
-                  entry.getKey(),
+                  known.getKey(),
                   i,
-                  e.attempts.get(i).endpointId(),
+                  entry.attempts.get(i).endpointId(),
                   status,
-                  now - e.attempts.get(i).at(),
-                  e.answered,
+                  now - entry.attempts.get(i).at(),
+                  entry.answered,
                   Map.of()));
         }
       }
-      if (!e.answered && random.nextInt(2000) == 0) {
-        e.answered = true;
-        handle(new ClientDisconnected(entry.getKey()));
+      if (!entry.answered && random.nextInt(2000) == 0) {
+        entry.answered = true;
+        handle(new ClientDisconnected(known.getKey()));
       }
       assertTrue(
-          e.answered || now <= e.deadline + settings.contract().responseSlackNanos(),
-          "late: " + entry.getKey());
+          entry.answered || now <= entry.deadline + settings.contract().responseSlackNanos(),
+          "late: " + known.getKey());
     }
-    entries.values().removeIf(e -> e.answered && e.inFlight() == 0);
+    entries.values().removeIf(entry -> entry.answered && entry.inFlight() == 0);
   }
 
   private void handle(Event event) {
     List<Action> actions = new ArrayList<>();
     engine.handle(now, event, actions::add);
     for (Action action : actions) {
-      if (action instanceof SetTimer t) {
-        timers.add(t);
-      } else if (action instanceof StartAttempt s) {
-        checkAttempt(entries.get(s.requestId()), s);
-      } else if (action instanceof RejectRequest r) {
-        Entry e = entries.get(r.requestId());
-        assertTrue(!e.answered, "one final answer");
-        boolean open = e.statuses.stream().anyMatch(x -> x == null || !x.provesNotRun());
+      if (action instanceof SetTimer timer) {
+        timers.add(timer);
+      } else if (action instanceof StartAttempt start) {
+        checkAttempt(entries.get(start.requestId()), start);
+      } else if (action instanceof RejectRequest rejection) {
+        Entry entry = entries.get(rejection.requestId());
+        assertTrue(!entry.answered, "one final answer");
+        boolean open = entry.statuses.stream().anyMatch(x -> x == null || !x.provesNotRun());
         assertTrue(
             !open
-                || e.type.idempotence() == Idempotence.IDEMPOTENT
-                || e.type.idempotence() == Idempotence.IDEMPOTENCY_KEY
-                    && e.type.dedupScope() == DedupScope.ALL,
+                || entry.type.idempotence() == Idempotence.IDEMPOTENT
+                || entry.type.idempotence() == Idempotence.IDEMPOTENCY_KEY
+                    && entry.type.dedupScope() == DedupScope.ALL,
             "rejection of what may have run");
-        e.answered = true;
-      } else if (action instanceof FailRequest f) {
-        assertTrue(!entries.get(f.requestId()).answered, "one final answer");
-        entries.get(f.requestId()).answered = true;
+        entry.answered = true;
+      } else if (action instanceof FailRequest failure) {
+        assertTrue(!entries.get(failure.requestId()).answered, "one final answer");
+        entries.get(failure.requestId()).answered = true;
       } else if (action instanceof CancelAttempt) {
         assertTrue(settings.limits().cancellation());
       }
     }
   }
 
-  private void checkAttempt(Entry e, StartAttempt s) {
-    Endpoint to = fleet.get(s.endpointId());
-    assertTrue(!e.answered, "attempt after the final answer");
+  private void checkAttempt(Entry entry, StartAttempt start) {
+    Endpoint to = fleet.get(start.endpointId());
+    assertTrue(!entry.answered, "attempt after the final answer");
     assertEquals(EndpointState.READY, to.state(), "attempt at a draining or gone endpoint");
-    assertTrue(e.attempts.size() < settings.limits().maxAttempts(), "too many attempts");
-    assertTrue(e.inFlight() == 0 || settings.limits().hedging(), "hedge");
-    assertTrue(now < e.deadline, "attempt past the deadline");
-    for (int i = 0; i < e.attempts.size(); i++) {
-      Sent earlier = e.attempts.get(i);
-      if (e.type.idempotence() != Idempotence.IDEMPOTENT
-          && (e.statuses.get(i) == null || !e.statuses.get(i).provesNotRun())) {
+    assertTrue(entry.attempts.size() < settings.limits().maxAttempts(), "too many attempts");
+    assertTrue(entry.inFlight() == 0 || settings.limits().hedging(), "hedge");
+    assertTrue(now < entry.deadline, "attempt past the deadline");
+    for (int i = 0; i < entry.attempts.size(); i++) {
+      Sent earlier = entry.attempts.get(i);
+      if (entry.type.idempotence() != Idempotence.IDEMPOTENT
+          && (entry.statuses.get(i) == null || !entry.statuses.get(i).provesNotRun())) {
         assertEquals(
             Idempotence.IDEMPOTENCY_KEY,
-            e.type.idempotence(),
+            entry.type.idempotence(),
             "non-idempotent request attempted again");
-        assertTrue(now - earlier.at() < e.type.dedupWindowNanos(), "retried past the dedup window");
         assertTrue(
-            e.type.dedupScope() == DedupScope.ALL
-                || e.type.dedupScope() == DedupScope.ZONE && earlier.zone().equals(to.zone())
-                || e.type.dedupScope() == DedupScope.CELL && earlier.cell() == to.cell(),
+            now - earlier.at() < entry.type.dedupWindowNanos(), "retried past the dedup window");
+        assertTrue(
+            entry.type.dedupScope() == DedupScope.ALL
+                || entry.type.dedupScope() == DedupScope.ZONE && earlier.zone().equals(to.zone())
+                || entry.type.dedupScope() == DedupScope.CELL && earlier.cell() == to.cell(),
             "retried outside the dedup scope");
       }
     }
-    e.attempts.add(new Sent(to.id(), to.zone(), to.cell(), now));
-    e.statuses.add(null);
+    entry.attempts.add(new Sent(to.id(), to.zone(), to.cell(), now));
+    entry.statuses.add(null);
   }
 }
--- a/src/test/java/loadbalancer/decision/SlowStartFleetTest.java
+++ b/src/test/java/loadbalancer/decision/SlowStartFleetTest.java
@@ -145,40 +145,41 @@
     }
 
     /** Forgets all that it knew and begins with the list. */
-    void restart(int b) {
-      incarnations[b]++;
-      engines[b] = new LoadBalancingEngine(settings(b, instances, quota), random.nextLong());
-      handle(b, new EndpointListUpdate(UpdateKind.CACHED, List.copyOf(list)));
+    void restart(int instance) {
+      incarnations[instance]++;
+      engines[instance] =
+          new LoadBalancingEngine(settings(instance, instances, quota), random.nextLong());
+      handle(instance, new EndpointListUpdate(UpdateKind.CACHED, List.copyOf(list)));
     }
 
-    void handle(int b, Event event) {
+    void handle(int instance, Event event) {
       List<Action> actions = new ArrayList<>();
-      engines[b].handle(now, event, actions::add);
-      int incarnation = incarnations[b];
+      engines[instance].handle(now, event, actions::add);
+      int incarnation = incarnations[instance];
       for (Action action : actions) {
-        if (action instanceof SetTimer t) {
+        if (action instanceof SetTimer timer) {
           at(
-              Math.max(now, t.atNanos()),
+              Math.max(now, timer.atNanos()),
               when -> {
-                if (incarnations[b] == incarnation) {
-                  handle(b, new TimerFired(t.token()));
+                if (incarnations[instance] == incarnation) {
+                  handle(instance, new TimerFired(timer.token()));
                 }
               });
-        } else if (action instanceof StartAttempt s) {
-          attempts.computeIfAbsent(s.endpointId(), u -> new ArrayList<>()).add(now);
-          long sentAt = now;
+        } else if (action instanceof StartAttempt start) {
+          attempts.computeIfAbsent(start.endpointId(), u -> new ArrayList<>()).add(now);
+          long startedAt = now;
           at(
               now + LATENCY,
               when -> {
-                if (incarnations[b] == incarnation) {
+                if (incarnations[instance] == incarnation) {
                   handle(
-                      b,
+                      instance,
                       new AttemptEnded(
-                          s.requestId(),
+                          start.requestId(),
                           0,
-                          s.endpointId(),
+                          start.endpointId(),
                           AttemptStatus.SUCCESS,
-                          when - sentAt,
+                          when - startedAt,
                           true,
                           Map.of()));
                 }
@@ -189,13 +190,13 @@
 
     void arrive(long when) {
       double point = random.nextDouble();
-      int b = 0;
-      while (b < instances - 1 && point > shares[b]) {
-        point -= shares[b++];
+      int instance = 0;
+      while (instance < instances - 1 && point > shares[instance]) {
+        point -= shares[instance++];
       }
       // Few keys have much of the traffic.
       String key = "k" + (int) Math.pow(1000, random.nextDouble());
-      handle(b, new RequestArrived("r" + ids++, "c", "t", key, now + 2 * SECOND, 0, false));
+      handle(instance, new RequestArrived("r" + ids++, "c", "t", key, now + 2 * SECOND, 0, false));
       at(
           now + (long) (-Math.log(1 - random.nextDouble()) * SECOND / (quota * ENDPOINTS * asked)),
           this::arrive);
@@ -233,11 +234,10 @@
           j++;
         }
         double part = Math.min(1, (times.get(i) - startedAt) / (double) SLOW_START);
-        // N as the settings have it: the multiple of what an endpoint so warm can do, for which the
-        // quotas stand.
-        double n =
+        // The quotas stand for what an endpoint can do that is not warming.
+        double budget =
             MULTIPLE * (INITIAL_CAPACITY + (1 - INITIAL_CAPACITY) * part) * quota * WINDOW / SECOND;
-        worst = Math.max(worst, j - i - (n + 2 * Math.sqrt(n) + 2));
+        worst = Math.max(worst, j - i - (budget + 2 * Math.sqrt(budget) + 2));
       }
       return worst;
     }
