--- a/src/main/java/loadbalancer/telemetry/LogValues.java
+++ b/src/main/java/loadbalancer/telemetry/LogValues.java
@@ -10,8 +10,13 @@
   /** A text as it is where it is one plain word, else {@linkplain #quote quoted}. */
   public static String value(String text) {
     for (int i = 0; i < text.length(); i++) {
-      char c = text.charAt(i);
-      if (c <= ' ' || c == '"' || c == '\\' || c == '=' || c == ',' || isControl(c)) {
+      char next = text.charAt(i);
+      if (next <= ' '
+          || next == '"'
+          || next == '\\'
+          || next == '='
+          || next == ','
+          || isControl(next)) {
         return quote(text);
       }
     }
@@ -25,20 +30,23 @@
   public static String quote(String text) {
     StringBuilder quoted = new StringBuilder(text.length() + 2).append('"');
     for (int i = 0; i < text.length(); i++) {
-      char c = text.charAt(i);
-      if (c == '"' || c == '\\') {
-        quoted.append('\\').append(c);
-      } else if (isControl(c)) {
-        quoted.append("\\u00").append(HEX_DIGITS.charAt(c >> 4)).append(HEX_DIGITS.charAt(c & 15));
+      char next = text.charAt(i);
+      if (next == '"' || next == '\\') {
+        quoted.append('\\').append(next);
+      } else if (isControl(next)) {
+        quoted
+            .append("\\u00")
+            .append(HEX_DIGITS.charAt(next >> 4))
+            .append(HEX_DIGITS.charAt(next & 15));
       } else {
-        quoted.append(c);
+        quoted.append(next);
       }
     }
     return quoted.append('"').toString();
   }
 
   /** Whether a character of the first 256 could break or disguise a line. */
-  private static boolean isControl(char c) {
-    return c < ' ' || c >= 0x7f && c < 0xa0;
+  private static boolean isControl(char next) {
+    return next < ' ' || next >= 0x7f && next < 0xa0;
   }
 }
--- a/src/test/java/loadbalancer/proxy/AttemptEndOrderTest.java
+++ b/src/test/java/loadbalancer/proxy/AttemptEndOrderTest.java
@@ -232,64 +232,78 @@
     }
   }
 
+  /**
+   * An upstream whose first process vanishes after one response: no more comes, not even an end.
+   */
+  private static FakeServer restarting() throws IOException {
+    AtomicInteger connections = new AtomicInteger();
+    return new FakeServer(
+        connection -> {
+          boolean first = connections.incrementAndGet() == 1;
+          for (int i = 0; connection.next() != null; i++) {
+            if (!first || i == 0) {
+              connection.write(FakeServer.ok(first ? "before" : "next"));
+            }
+          }
+        });
+  }
+
+  /**
+   * Discovery that tells of the upstream's restart.
+   *
+   * @param back the name that it comes back under
+   * @param before what becomes of {@code s-1} first: gone, or ready and restarted
+   */
+  private static FakeServer discovery(
+      FakeServer upstream, String back, String before, CountDownLatch restarted)
+      throws IOException {
+    return new FakeServer(
+        connection -> {
+          connection.next();
+          restarted.await();
+          String now =
+              ProxyFixture.member(back, upstream.address(), "ready")
+                  .replace("\"up_since_ms\":0", "\"up_since_ms\":" + System.currentTimeMillis());
+          String change =
+              before.equals("ready") ? now : ProxyFixture.member("s-1", upstream.address(), before);
+          connection.write(DiscoveryMessages.watch(ProxyFixture.list(2, false, change)));
+          connection.write(DiscoveryMessages.chunk(ProxyFixture.list(3, false, now)));
+          connection.ends();
+        });
+  }
+
+  /** Has discovery watched, and starts attempts at {@code s-1} until the restart. */
+  private static ScriptedEngine followingRestart(String back, CountDownLatch restarted) {
+    return new ScriptedEngine(
+        (event, actions) -> {
+          if (event instanceof EndpointListUpdate update && update.kind() == UpdateKind.CACHED) {
+            actions.accept(new WatchEndpoints(true));
+          } else if (event instanceof RequestArrived request) {
+            String endpoint = restarted.getCount() > 0 ? "s-1" : back;
+            actions.accept(
+                new StartAttempt(request.requestId(), DiscoveryMessages.number(endpoint), 0));
+          }
+        });
+  }
+
   /** How an upstream comes back at the address of one that was there before. */
   @ParameterizedTest
   @CsvSource({"s-1,gone", "s-1,ready", "s-2,gone"})
   void opensANewConnectionToARestartedUpstream(String back, String before) throws Exception {
     CountDownLatch restarted = new CountDownLatch(1);
-    AtomicInteger connections = new AtomicInteger();
-    try (FakeServer upstream =
-            new FakeServer(
-                connection -> {
-                  // The first process's machine vanishes after its response: nothing comes any
-                  // more, not even an end.
-                  boolean first = connections.incrementAndGet() == 1;
-                  for (int i = 0; connection.next() != null; i++) {
-                    if (!first || i == 0) {
-                      connection.write(FakeServer.ok(first ? "before" : "next"));
-                    }
-                  }
-                });
-        FakeServer discovery =
-            new FakeServer(
-                connection -> {
-                  connection.next();
-                  restarted.await();
-                  String now =
-                      ProxyFixture.member(back, upstream.address(), "ready")
-                          .replace(
-                              "\"up_since_ms\":0", "\"up_since_ms\":" + System.currentTimeMillis());
-                  String change =
-                      before.equals("ready")
-                          ? now
-                          : ProxyFixture.member("s-1", upstream.address(), before);
-                  connection.write(DiscoveryMessages.watch(ProxyFixture.list(2, false, change)));
-                  connection.write(DiscoveryMessages.chunk(ProxyFixture.list(3, false, now)));
-                  connection.ends();
-                })) {
-      ScriptedEngine engine =
-          new ScriptedEngine(
-              (event, actions) -> {
-                if (event instanceof EndpointListUpdate update
-                    && update.kind() == UpdateKind.CACHED) {
-                  actions.accept(new WatchEndpoints(true));
-                } else if (event instanceof RequestArrived request) {
-                  String endpoint = restarted.getCount() > 0 ? "s-1" : back;
-                  actions.accept(
-                      new StartAttempt(request.requestId(), DiscoveryMessages.number(endpoint), 0));
-                }
-              });
-      try (ProxyFixture proxy =
-              new ProxyFixture(ProxyFixture.config(discovery.address(), known(upstream)), engine);
-          Client client = proxy.client()) {
-        assertTrue(client.ask(ProxyFixture.get("t1", "")).endsWith("\r\n\r\nbefore"));
-        EventLoopCues.pass(50); // The connection has rested long enough to be used again.
-        restarted.countDown();
-        for (UpdateKind kind : List.of(UpdateKind.CACHED, UpdateKind.DELTA, UpdateKind.DELTA)) {
-          assertEquals(kind, engine.next(EndpointListUpdate.class).kind());
-        }
-        assertTrue(client.ask(ProxyFixture.get("t2", "")).endsWith("\r\n\r\nnext"));
+    ScriptedEngine engine = followingRestart(back, restarted);
+    try (FakeServer upstream = restarting();
+        FakeServer discovery = discovery(upstream, back, before, restarted);
+        ProxyFixture proxy =
+            new ProxyFixture(ProxyFixture.config(discovery.address(), known(upstream)), engine);
+        Client client = proxy.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t1", "")).endsWith("\r\n\r\nbefore"));
+      EventLoopCues.pass(50); // The connection has rested long enough to be used again.
+      restarted.countDown();
+      for (UpdateKind kind : List.of(UpdateKind.CACHED, UpdateKind.DELTA, UpdateKind.DELTA)) {
+        assertEquals(kind, engine.next(EndpointListUpdate.class).kind());
       }
+      assertTrue(client.ask(ProxyFixture.get("t2", "")).endsWith("\r\n\r\nnext"));
     }
   }
 }
--- a/src/test/java/loadbalancer/proxy/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/proxy/LargeFleetIT.java
@@ -103,6 +103,13 @@
         .replace("}", "\n        }");
   }
 
+  /** The addresses of as many instances. */
+  private static String peers() {
+    return IntStream.range(0, MANY)
+        .mapToObj(i -> "\"127.0." + i / 250 + "." + (i % 250 + 1) + ":7946\"")
+        .collect(Collectors.joining(",", "\"peers\":[", "],"));
+  }
+
   /** By lists that come indented. */
   @Test
   void servesAThousandEndpointsAndInstancesInTheLeastMemory() throws Exception {
@@ -118,12 +125,6 @@
                   c.write(DiscoveryMessages.chunk(indented(list(43, 0, first.address()))));
                   c.ends();
                 })) {
-      String peers =
-          "\"peers\":["
-              + IntStream.range(0, MANY)
-                  .mapToObj(i -> "\"127.0." + i / 250 + "." + (i % 250 + 1) + ":7946\"")
-                  .collect(Collectors.joining(","))
-              + "],";
       String config =
           ProxyFixture.text(
                   discovery.address(),
@@ -131,7 +132,7 @@
                   "pushed",
                   200,
                   MANY,
-                  peers)
+                  peers())
               .replace("\"memory_mb\":192", "\"memory_mb\":32")
               .replace("\"me\":0", "\"me\":" + (MANY - 1) + ",\"group-size\":" + MANY);
       int port = start(config, MANY);
@@ -147,6 +148,66 @@
     }
   }
 
+  /** An upstream that responds once the latch is open. */
+  private static FakeServer respondingAfter(CountDownLatch cue) throws IOException {
+    return new FakeServer(
+        connection -> {
+          while (connection.next() != null) {
+            cue.await();
+            connection.write(FakeServer.ok("slow"));
+          }
+        });
+  }
+
+  /** Discovery that resets every connection until it is up, and then lists one endpoint. */
+  private static FakeServer discovery(AtomicBoolean up, FakeServer listed) throws IOException {
+    return new FakeServer(
+        connection -> {
+          if (!up.get()) {
+            connection.reset();
+          }
+          connection.next();
+          String member = ProxyFixture.member("s-listed", listed.address(), "ready");
+          connection.write(DiscoveryMessages.watch(ProxyFixture.list(42, true, member)));
+          connection.ends();
+        });
+  }
+
+  /** Sends requests to both known endpoints until one of them waits at the slow one. */
+  private static List<Socket> openRequests(int port, FakeServer slow)
+      throws IOException, InterruptedException {
+    List<Socket> open = new ArrayList<>();
+    while (slow.requests.isEmpty()) {
+      Socket client = new Socket("127.0.0.1", port);
+      String request =
+          ProxyFixture.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n");
+      client.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      open.add(client);
+      Thread.sleep(20);
+    }
+    return open;
+  }
+
+  private static void assertAnswered(List<Socket> open) throws IOException {
+    for (Socket client : open) {
+      client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
+      String response = FakeServer.Message.read(client.getInputStream());
+      assertTrue(
+          response.endsWith("slow")
+              || response.endsWith("known")
+              || response.startsWith("HTTP/1.1 429 "),
+          response);
+      client.close();
+    }
+  }
+
+  private void assertIdle() throws InterruptedException {
+    Duration before = process.info().totalCpuDuration().orElseThrow();
+    Thread.sleep(2000); // The time itself is what is tested.
+    long usedMillis = process.info().totalCpuDuration().orElseThrow().minus(before).toMillis();
+    assertTrue(usedMillis < 700, "with nothing to do it used " + usedMillis + " ms in 2 s");
+  }
+
   /**
    * Idle clients fill all that they can while discovery is down. Open requests get their responses,
    * new ones are served, discovery is found when it is back, and nothing spins.
@@ -156,57 +217,19 @@
     AtomicBoolean up = new AtomicBoolean();
     CountDownLatch cue = new CountDownLatch(1);
     List<Socket> idle = new ArrayList<>();
-    try (FakeServer slow =
-            new FakeServer(
-                c -> {
-                  while (c.next() != null) {
-                    cue.await();
-                    c.write(FakeServer.ok("slow"));
-                  }
-                });
+    try (FakeServer slow = respondingAfter(cue);
         FakeServer known = FakeServer.answering(FakeServer.ok("known"));
         FakeServer listed = FakeServer.answering(FakeServer.ok("listed"));
-        FakeServer discovery =
-            new FakeServer(
-                c -> {
-                  if (!up.get()) {
-                    c.reset();
-                  }
-                  c.next();
-                  c.write(
-                      DiscoveryMessages.watch(
-                          ProxyFixture.list(
-                              42,
-                              true,
-                              ProxyFixture.member("s-listed", listed.address(), "ready"))));
-                  c.ends();
-                })) {
+        FakeServer discovery = discovery(up, listed)) {
+      String members =
+          ProxyFixture.list(
+              41,
+              true,
+              ProxyFixture.member("s-slow", slow.address(), "ready"),
+              ProxyFixture.member("s-known", known.address(), "ready"));
       int port =
-          start(
-              ProxyFixture.text(
-                  discovery.address(),
-                  ProxyFixture.list(
-                      41,
-                      true,
-                      ProxyFixture.member("s-slow", slow.address(), "ready"),
-                      ProxyFixture.member("s-known", known.address(), "ready")),
-                  "pushed",
-                  200,
-                  256,
-                  ""),
-              256);
-      // Both endpoints get requests until one of these waits at the slow one.
-      List<Socket> open = new ArrayList<>();
-      while (slow.requests.isEmpty()) {
-        Socket client = new Socket("127.0.0.1", port);
-        client
-            .getOutputStream()
-            .write(
-                ProxyFixture.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n")
-                    .getBytes());
-        open.add(client);
-        Thread.sleep(20);
-      }
+          start(ProxyFixture.text(discovery.address(), members, "pushed", 200, 256, ""), 256);
+      List<Socket> open = openRequests(port, slow);
       for (int i = 0; i < 500; i++) {
         Socket client = new Socket("127.0.0.1", port);
         idle.add(client);
@@ -215,10 +238,7 @@
             "a new client gets its response");
       }
       assertTrue(askAnew(port, "while-down").startsWith("HTTP/1.1 "), "and a request a final one");
-      Duration before = process.info().totalCpuDuration().orElseThrow();
-      Thread.sleep(2000); // The time itself is what is tested.
-      long usedMillis = process.info().totalCpuDuration().orElseThrow().minus(before).toMillis();
-      assertTrue(usedMillis < 700, "with nothing to do it used " + usedMillis + " ms in 2 s");
+      assertIdle();
       up.set(true);
       while (!log().contains("discovery_recovered")) {
         Thread.sleep(10);
@@ -228,16 +248,7 @@
         Thread.sleep(10);
       }
       cue.countDown();
-      for (Socket client : open) {
-        client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
-        String answer = FakeServer.Message.read(client.getInputStream());
-        assertTrue(
-            answer.endsWith("slow")
-                || answer.endsWith("known")
-                || answer.startsWith("HTTP/1.1 429 "),
-            answer);
-        client.close();
-      }
+      assertAnswered(open);
       assertTrue(process.isAlive(), log());
       assertFalse(log().contains("Too many open files"), log());
     } finally {
--- a/src/test/java/loadbalancer/proxy/ReloadOrderTest.java
+++ b/src/test/java/loadbalancer/proxy/ReloadOrderTest.java
@@ -37,6 +37,8 @@
   private static final String READY = ProxyFixture.member("s-1", NOWHERE, "ready");
   private static final String DRAINING = ProxyFixture.member("s-1", NOWHERE, "draining");
 
+  private static final String OTHER_DRAINING = ProxyFixture.member("s-2", NOWHERE, "draining");
+
   private final EventLoopCues cues = new EventLoopCues();
 
   private static BalancerConfig pushed(String discovery, String known) throws IOException {
@@ -97,6 +99,31 @@
     }
   }
 
+  /** Discovery that sends one list to every watch, and keeps it open. */
+  private static FakeServer watched(String list) throws IOException {
+    return new FakeServer(
+        connection -> {
+          connection.next();
+          connection.write(DiscoveryMessages.watch(list));
+          connection.ends();
+        });
+  }
+
+  /**
+   * Discovery that sends one list and resets the watch at the first latch, then opens the second.
+   */
+  private static FakeServer resetting(CountDownLatch close, CountDownLatch closed)
+      throws IOException {
+    return new FakeServer(
+        connection -> {
+          connection.next();
+          connection.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, READY)));
+          close.await();
+          connection.reset();
+          closed.countDown();
+        });
+  }
+
   /** The old discovery ends the watch in the turn of the reload, before or after it. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
@@ -105,24 +132,8 @@
     CountDownLatch close = new CountDownLatch(1);
     CountDownLatch closed = new CountDownLatch(1);
     ScriptedEngine engine = cues.engine("s-1", 0);
-    try (FakeServer old =
-            new FakeServer(
-                connection -> {
-                  connection.next();
-                  connection.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, READY)));
-                  close.await();
-                  connection.reset();
-                  closed.countDown();
-                });
-        FakeServer fresh =
-            new FakeServer(
-                connection -> {
-                  connection.next();
-                  String second = ProxyFixture.member("s-2", NOWHERE, "draining");
-                  connection.write(
-                      DiscoveryMessages.watch(ProxyFixture.list(3, true, READY, second)));
-                  connection.ends();
-                });
+    try (FakeServer old = resetting(close, closed);
+        FakeServer fresh = watched(ProxyFixture.list(3, true, READY, OTHER_DRAINING));
         ProxyFixture proxy =
             new ProxyFixture(pushed(old.address(), ProxyFixture.list(1, true, READY)), engine);
         Client cue = proxy.client();
@@ -167,13 +178,7 @@
     AtomicInteger calls = new AtomicInteger();
     AtomicLong reloadedAt = new AtomicLong();
     ScriptedEngine engine = cues.engine("s-1", 0);
-    try (FakeServer old =
-            new FakeServer(
-                connection -> {
-                  connection.next();
-                  connection.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, READY)));
-                  connection.ends();
-                });
+    try (FakeServer old = watched(ProxyFixture.list(2, true, READY));
         FakeServer fresh =
             new FakeServer(
                 connection -> {
