--- a/src/test/java/loadbalancer/proxy/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/proxy/LargeFleetIT.java
@@ -188,6 +188,16 @@
     return open;
   }
 
+  /** Connects more clients than there are descriptors; each gets a response, and stays. */
+  private static void connectIdle(int port, List<Socket> idle) throws IOException {
+    for (int i = 0; i < 500; i++) {
+      Socket client = new Socket("127.0.0.1", port);
+      idle.add(client);
+      String response = ask(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+      assertNotNull(response, "a new client gets its response");
+    }
+  }
+
   private static void assertAnswered(List<Socket> open) throws IOException {
     for (Socket client : open) {
       client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
@@ -230,13 +240,7 @@
       int port =
           start(ProxyFixture.text(discovery.address(), members, "pushed", 200, 256, ""), 256);
       List<Socket> open = openRequests(port, slow);
-      for (int i = 0; i < 500; i++) {
-        Socket client = new Socket("127.0.0.1", port);
-        idle.add(client);
-        assertNotNull(
-            ask(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"),
-            "a new client gets its response");
-      }
+      connectIdle(port, idle);
       assertTrue(askAnew(port, "while-down").startsWith("HTTP/1.1 "), "and a request a final one");
       assertIdle();
       up.set(true);
