Follow the configuration file where SIGHUP is ignored

The virtual machine leaves a signal ignored that was ignored at its start, whatever handler is set. Ruled out: a lower revision at the new discovery, a file that could not be read (no line for either).

--- a/src/main/java/loadbalancer/config/BalancerConfig.java
+++ b/src/main/java/loadbalancer/config/BalancerConfig.java
@@ -42,7 +42,8 @@
     long idleNanos,
     boolean loadReports) {
 
-  private static final String FILE_VARIABLE = "ROUTER_CONFIG";
+  /** The environment variable that names the configuration file. */
+  public static final String FILE_VARIABLE = "ROUTER_CONFIG";
 
   /**
    * Reads the file that the environment names.
--- a/src/main/java/loadbalancer/proxy/ServeCommand.java
+++ b/src/main/java/loadbalancer/proxy/ServeCommand.java
@@ -2,16 +2,21 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
+import java.nio.file.Path;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Logger;
 import loadbalancer.config.BalancerConfig;
 import loadbalancer.telemetry.LogValues;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The {@code serve} subcommand: runs one proxy until SIGTERM. */
 public final class ServeCommand {
 
+  private static final Logger LOG = Logger.getLogger(ServeCommand.class.getName());
+
   /** One line an entry: time, level, logger, message. */
   private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n";
 
@@ -43,11 +48,14 @@
 
   private int run() {
     // Handlers, not shutdown hooks: those run beside the one that ends logging, and the exit status
-    // would tell of
-    // the signal. Without a handler SIGHUP ends the process; one that comes early waits for the
-    // listening.
+    // would name the signal. Without a handler SIGHUP ends the process; one that arrives early
+    // waits until the proxy listens.
     Signal.handle(new Signal("TERM"), signal -> terminate());
-    Signal.handle(new Signal("HUP"), signal -> listening.thenAccept(this::reload));
+    SignalHandler previous =
+        Signal.handle(new Signal("HUP"), signal -> listening.thenAccept(this::reload));
+    if (previous == SignalHandler.SIG_IGN) {
+      watchConfigurationFile();
+    }
     try {
       ProxyServer server = ProxyServer.prepare(BalancerConfig.read(environment));
       if (!decided.compareAndSet(false, true)) {
@@ -71,6 +79,15 @@
     listening.thenAccept(server -> new Thread(server::shutDownGracefully, "shutdown").start());
   }
 
+  private void watchConfigurationFile() {
+    String path = environment.get(BalancerConfig.FILE_VARIABLE);
+    if (path != null) {
+      LOG.warning("sighup_ignored reload=on_file_change");
+      Runnable reload = () -> listening.thenAccept(this::reload);
+      new ConfigurationFileWatcher(Path.of(path), reload).start();
+    }
+  }
+
   private void reload(ProxyServer server) {
     server.reload(() -> BalancerConfig.read(environment));
   }
--- a/src/test/java/loadbalancer/PackagedJarIT.java
+++ b/src/test/java/loadbalancer/PackagedJarIT.java
@@ -74,14 +74,20 @@
   }
 
   private Process serve(String config) throws IOException {
+    return serve(config, List.of());
+  }
+
+  /** Starts a proxy, by way of a command that becomes the one behind it. */
+  private Process serve(String config, List<String> wrapper) throws IOException {
     Files.writeString(folder.resolve("config"), config);
-    ProcessBuilder builder =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar",
-                System.getProperty("jar"),
-                "serve")
-            .redirectError(file("err"));
+    List<String> command = new ArrayList<>(wrapper);
+    command.addAll(
+        List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-jar",
+            System.getProperty("jar"),
+            "serve"));
+    ProcessBuilder builder = new ProcessBuilder(command).redirectError(file("err"));
     builder.environment().put("ROUTER_CONFIG", folder.resolve("config").toString());
     return builder.start();
   }
@@ -139,6 +145,25 @@
     }
   }
 
+  /** Started with SIGHUP ignored, as by nohup, the virtual machine handles none. */
+  @Test
+  void readsTheConfigurationAgainOnAFileChangeWhereSighupIsIgnored()
+      throws IOException, InterruptedException {
+    String config = Files.readString(Path.of("deploy/example.json"));
+    Process process =
+        serve(config, List.of("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "ignoring-sighup"));
+    try {
+      awaitLine(process, "sighup_ignored");
+      awaitLine(process, "listening address=");
+      Files.writeString(
+          folder.resolve("config"), config.replace("127.0.0.1:8500", "127.0.0.1:8501"));
+      hangUp(process);
+      awaitLine(process, "configuration_reloaded discovery=/127.0.0.1:8501");
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   /** It still waits for discovery, and no client ever came to it. */
   @Test
   void exitsAtOnceOnSigtermBeforeItListens() throws IOException, InterruptedException {
