Mend what Error Prone and Checkstyle find

Change: parentheses where && stands beside ||, casts where a long became a double unsaid, strings split with the limit that is the default, charsets and loopback addresses named in tests, one count that was narrowed kept as a long, an atomic that no other thread saw made a local. Constructors' doc comments begin with a sentence. Long lines of texts in tests are cut; the texts are the same. Two enums of tests hold lambdas, and three classes of tests open a proxy that they need only to run: there the warning is suppressed with the reason. No behaviour changes, and no test checks less.

--- a/src/main/java/loadbalancer/decision/DecayingRate.java
+++ b/src/main/java/loadbalancer/decision/DecayingRate.java
@@ -16,7 +16,7 @@
 
   /** Events a second, over no less than {@code minAgeNanos}: a mean over less would be chance. */
   double perSecond(long now, double minAgeNanos) {
-    double age = Math.max(minAgeNanos, now - firstAt);
+    double age = Math.max(minAgeNanos, (double) (now - firstAt));
     return sum(now) * 1e9 / (DECAY_NANOS * (1 - Math.exp(-age / DECAY_NANOS)));
   }
 
--- a/src/main/java/loadbalancer/decision/HashRing.java
+++ b/src/main/java/loadbalancer/decision/HashRing.java
@@ -15,7 +15,7 @@
     int next = 0;
     for (int member = 0; member < ids.length; member++) {
       for (int i = 0; i < counts[member]; i++) {
-        points[next++] = mix(mix(ids[member]) + i) & ~MEMBER_BITS | member;
+        points[next++] = (mix(mix(ids[member]) + i) & ~MEMBER_BITS) | member;
       }
     }
     Arrays.sort(points);
--- a/src/main/java/loadbalancer/decision/IdempotencePolicy.java
+++ b/src/main/java/loadbalancer/decision/IdempotencePolicy.java
@@ -13,7 +13,7 @@
     boolean othersLeft = readyCount > request.attempts.size();
     for (Attempt earlier : request.attempts) {
       boolean avoided = earlier.endpoint == endpoint && (earlier.inFlight || othersLeft);
-      if (avoided || earlier.mayHaveRun && !mayRepeat(request.type, earlier, endpoint.listing)) {
+      if (avoided || (earlier.mayHaveRun && !mayRepeat(request.type, earlier, endpoint.listing))) {
         return false;
       }
     }
@@ -28,8 +28,8 @@
     DedupScope scope = type.dedupScope();
     boolean recognised =
         scope == DedupScope.ALL
-            || scope == DedupScope.ZONE && first.zone().equals(endpoint.zone())
-            || scope == DedupScope.CELL && first.cell() == endpoint.cell();
+            || (scope == DedupScope.ZONE && first.zone().equals(endpoint.zone()))
+            || (scope == DedupScope.CELL && first.cell() == endpoint.cell());
     // A tick less than the window: the attempt may be sent a tick after its decision.
     long window = type.dedupWindowNanos() - context.settings.tickNanos();
     return recognised && context.now - earlier.startedAt < window;
--- a/src/main/java/loadbalancer/decision/OutlierDetector.java
+++ b/src/main/java/loadbalancer/decision/OutlierDetector.java
@@ -36,7 +36,7 @@
   }
 
   boolean isAvailable(TrackedEndpoint endpoint) {
-    return panic || endpoint.ejectedUntil <= context.now && !isSilent(endpoint);
+    return panic || (endpoint.ejectedUntil <= context.now && !isSilent(endpoint));
   }
 
   // One instance of many sends too few to wait for failures in a row. Others find out at less cost.
--- a/src/main/java/loadbalancer/decision/RequestClassifier.java
+++ b/src/main/java/loadbalancer/decision/RequestClassifier.java
@@ -48,7 +48,7 @@
     meanHint +=
         meanHint == 0
             ? Math.min(hint, context.shortestObjectiveNanos)
-            : (Math.min(hint, MAX_HINT * meanHint) - meanHint) * MEAN_STEP;
+            : (Math.min((double) hint, MAX_HINT * meanHint) - meanHint) * MEAN_STEP;
     return Math.min(MAX_LOAD, Math.max(1 / MAX_LOAD, hint / meanHint));
   }
 }
--- a/src/main/java/loadbalancer/decision/RequestLifecycle.java
+++ b/src/main/java/loadbalancer/decision/RequestLifecycle.java
@@ -147,7 +147,7 @@
   private boolean isOver(InFlightRequest request) {
     long lastStart = request.arrival.deadlineNanos() - DEADLINE_SWEEPS * context.sweepNanos;
     return request.attempts.size() >= limits.maxAttempts()
-        || !request.attempts.isEmpty() && retries.isExhausted()
+        || (!request.attempts.isEmpty() && retries.isExhausted())
         || IdempotencePolicy.isSpent(request)
         || context.now >= lastStart;
   }
@@ -177,7 +177,7 @@
 
   private Action rejection(InFlightRequest request) {
     double longest = RETRY_AFTER_PART * request.type.latencyObjectiveNanos();
-    double most = limits.retryAfter() ? Math.min(limits.maxRetryAfterNanos(), longest) : 0;
+    double most = limits.retryAfter() ? Math.min((double) limits.maxRetryAfterNanos(), longest) : 0;
     // Full jitter, or clients that were rejected together would come back together.
     long retryAfter = (long) (most * context.random.nextDouble());
     return new Action.RejectRequest(request.id(), retryAfter);
--- a/src/main/java/loadbalancer/decision/SlowStart.java
+++ b/src/main/java/loadbalancer/decision/SlowStart.java
@@ -35,7 +35,7 @@
       return true;
     }
     double multiple = OVERLOAD_PART * contract.overloadMultiple() * warming;
-    double usual = usualRate.perSecond(context.now, context.windowNanos);
+    double usual = usualRate.perSecond(context.now, (double) context.windowNanos);
     double rate = Math.max(MIN_RATE / context.settings.instanceCount(), multiple * usual);
     double inWindow = rate * contract.overloadWindowNanos() / DecisionContext.SECOND_NANOS;
     double burst = Math.max(1, inWindow * BURST_PART);
--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -237,7 +237,7 @@
     currentRequest = null;
     // Pipelined requests were received, so they get their responses before the connection ends.
     boolean keepOpen =
-        keepAlive && (!pipelined.isEmpty() || !discardInput && !listenerState.isClosing());
+        keepAlive && (!pipelined.isEmpty() || (!discardInput && !listenerState.isClosing()));
     channel
         .writeAndFlush(
             ResponseFactory.create(status, retryAfterNanos, contentType, content, keepOpen))
@@ -245,7 +245,7 @@
   }
 
   private void responseWritten(boolean success, boolean keepOpen) {
-    if (!success || !keepOpen && (!discardInput || halfClosed)) {
+    if (!success || (!keepOpen && (!discardInput || halfClosed))) {
       channel.close();
     } else if (!keepOpen) {
       closeOutputAndLinger();
--- a/src/main/java/loadbalancer/downstream/DownstreamListener.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamListener.java
@@ -40,6 +40,8 @@
   private long acceptedConnections;
 
   /**
+   * Creates the listener of one proxy.
+   *
    * @param upstreamConnections the idle ones are closed for the descriptors of new clients
    * @param maxBodyBytes bounds the memory of all request bodies together
    */
@@ -141,7 +143,7 @@
    */
   private void admit(Channel channel) {
     boolean admitted =
-        connections.count() < descriptors.clientLimit() && descriptors.hasRoom()
+        (connections.count() < descriptors.clientLimit() && descriptors.hasRoom())
             || connections.shedOne()
             || upstreamConnections.closeLongestIdle();
     acceptedConnections++;
--- a/src/main/java/loadbalancer/downstream/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -31,6 +31,8 @@
   private long reservedBytes;
 
   /**
+   * Creates the aggregator of one connection.
+   *
    * @param responsePending whether an earlier request on the connection still has no response; a
    *     {@code 100 Continue} would overtake it
    */
--- a/src/main/java/loadbalancer/proxy/UpstreamRequestFactory.java
+++ b/src/main/java/loadbalancer/proxy/UpstreamRequestFactory.java
@@ -59,7 +59,7 @@
    */
   private static void removeHopByHop(HttpHeaders headers, HttpHeaders received) {
     for (String connection : received.getAll(HttpHeaderNames.CONNECTION)) {
-      for (String name : connection.split(",")) {
+      for (String name : connection.split(",", 0)) {
         headers.remove(name.trim());
       }
     }
--- a/src/main/java/loadbalancer/telemetry/LogValues.java
+++ b/src/main/java/loadbalancer/telemetry/LogValues.java
@@ -47,6 +47,6 @@
 
   /** Whether a character of the first 256 could break or disguise a line. */
   private static boolean isControl(char next) {
-    return next < ' ' || next >= 0x7f && next < 0xa0;
+    return next < ' ' || (next >= 0x7f && next < 0xa0);
   }
 }
--- a/src/test/java/loadbalancer/DeploymentTest.java
+++ b/src/test/java/loadbalancer/DeploymentTest.java
@@ -73,8 +73,8 @@
   @Test
   void execsIntoTheVirtualMachineWithoutAnotherProcess() throws IOException, InterruptedException {
     Start start = run(Files.readString(Path.of("deploy/example.json")));
-    assertEquals(start.shell(), Long.parseLong(start.stat().split(" ")[0]), "the same process");
-    String[] figures = start.stat().substring(start.stat().lastIndexOf(')') + 2).split(" ");
+    assertEquals(start.shell(), Long.parseLong(start.stat().split(" ", 0)[0]), "the same process");
+    String[] figures = start.stat().substring(start.stat().lastIndexOf(')') + 2).split(" ", 0);
     assertEquals("0", figures[CHILDREN_FAULTS], "a forked child has run: " + start.stat());
     assertEquals("serve", start.arguments().get(start.arguments().size() - 1));
   }
--- a/src/test/java/loadbalancer/MainTest.java
+++ b/src/test/java/loadbalancer/MainTest.java
@@ -22,23 +22,29 @@
         args,
         Map.of(),
         new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)),
-        new PrintStream(out),
-        new PrintStream(err));
+        new PrintStream(out, false, StandardCharsets.UTF_8),
+        new PrintStream(err, false, StandardCharsets.UTF_8));
   }
 
   @Test
   void exitsWithZeroWhenItsInputEnds() throws IOException {
     assertEquals(0, run("{\"clock-ns\":1,\"groups\":[]}\n", "drill"));
-    assertEquals("{\"groups\":[]}\n", out.toString());
-    assertEquals("", err.toString());
+    assertEquals("{\"groups\":[]}\n", out.toString(StandardCharsets.UTF_8));
+    assertEquals("", err.toString(StandardCharsets.UTF_8));
   }
 
   @Test
   void reportsMalformedInputInOneLineAndExitsWithOne() throws IOException {
     assertEquals(1, run("{\"clock-ns\":1,\"groups\":[]}\n{\"clock-ns\":\n{}\n", "drill"));
-    assertEquals("{\"groups\":[]}\n", out.toString(), "nothing after the line before");
-    assertEquals(1, err.toString().lines().count(), err.toString());
-    assertTrue(err.toString().startsWith("line 2: not JSON"), err.toString());
+    assertEquals(
+        "{\"groups\":[]}\n", out.toString(StandardCharsets.UTF_8), "nothing after the line before");
+    assertEquals(
+        1,
+        err.toString(StandardCharsets.UTF_8).lines().count(),
+        err.toString(StandardCharsets.UTF_8));
+    assertTrue(
+        err.toString(StandardCharsets.UTF_8).startsWith("line 2: not JSON"),
+        err.toString(StandardCharsets.UTF_8));
   }
 
   @Test
@@ -46,7 +52,9 @@
     assertEquals(2, run(""));
     assertEquals(2, run("", "proxy"));
     assertEquals(2, run("", "drill", "more"));
-    assertEquals("", out.toString());
-    assertTrue(err.toString().startsWith("usage: "), err.toString());
+    assertEquals("", out.toString(StandardCharsets.UTF_8));
+    assertTrue(
+        err.toString(StandardCharsets.UTF_8).startsWith("usage: "),
+        err.toString(StandardCharsets.UTF_8));
   }
 }
--- a/src/test/java/loadbalancer/PackagedJarIT.java
+++ b/src/test/java/loadbalancer/PackagedJarIT.java
@@ -103,7 +103,8 @@
         Thread.sleep(10);
         listening = listening.reset(text("err"));
       }
-      try (Socket client = new Socket("127.0.0.1", Integer.parseInt(listening.group(1)))) {
+      try (Socket client =
+          new Socket(InetAddress.getLoopbackAddress(), Integer.parseInt(listening.group(1)))) {
         client
             .getOutputStream()
             .write("GET /api HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
--- a/src/test/java/loadbalancer/decision/BoundedLoadBalancerTest.java
+++ b/src/test/java/loadbalancer/decision/BoundedLoadBalancerTest.java
@@ -66,7 +66,7 @@
   @Test
   void oneHugeWorkHintDoesNotMakeTheOthersLight() {
     int usual = startedAtOnceAfter(20 * MS);
-    assertEquals(usual, startedAtOnceAfter(1_000_000_000_000_000L), usual / 2);
+    assertEquals(usual, startedAtOnceAfter(1_000_000_000_000_000L), Math.floorDiv(usual, 2));
   }
 
   @Test
--- a/src/test/java/loadbalancer/decision/OverloadTest.java
+++ b/src/test/java/loadbalancer/decision/OverloadTest.java
@@ -263,8 +263,8 @@
         assertTrue(
             !open
                 || entry.type.idempotence() == Idempotence.IDEMPOTENT
-                || entry.type.idempotence() == Idempotence.IDEMPOTENCY_KEY
-                    && entry.type.dedupScope() == DedupScope.ALL,
+                || (entry.type.idempotence() == Idempotence.IDEMPOTENCY_KEY
+                    && entry.type.dedupScope() == DedupScope.ALL),
             "rejection of what may have run");
         entry.answered = true;
       } else if (action instanceof FailRequest failure) {
@@ -295,8 +295,8 @@
             now - earlier.at() < entry.type.dedupWindowNanos(), "retried past the dedup window");
         assertTrue(
             entry.type.dedupScope() == DedupScope.ALL
-                || entry.type.dedupScope() == DedupScope.ZONE && earlier.zone().equals(to.zone())
-                || entry.type.dedupScope() == DedupScope.CELL && earlier.cell() == to.cell(),
+                || (entry.type.dedupScope() == DedupScope.ZONE && earlier.zone().equals(to.zone()))
+                || (entry.type.dedupScope() == DedupScope.CELL && earlier.cell() == to.cell()),
             "retried outside the dedup scope");
       }
     }
--- a/src/test/java/loadbalancer/decision/SlowStartFleetTest.java
+++ b/src/test/java/loadbalancer/decision/SlowStartFleetTest.java
@@ -256,7 +256,7 @@
   private static void assertWithin(Fleet fleet, int warming, long startedAt, String what) {
     String message =
         what + ", " + fleet.instances + " instances, " + fleet.quota + " a second for each";
-    int attempts = 0;
+    long attempts = 0;
     for (int e = 0; e < warming; e++) {
       double over = fleet.excess(e, startedAt);
       assertTrue(over <= 0, message + ": over by " + over);
--- a/src/test/java/loadbalancer/discovery/DiscoveryFailureTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryFailureTest.java
@@ -21,6 +21,7 @@
 
 /** Every failure of a call is noticed and reported. */
 @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+@SuppressWarnings("try") // The proxy runs while its engine is asked.
 class DiscoveryFailureTest {
 
   @ParameterizedTest
--- a/src/test/java/loadbalancer/discovery/DiscoveryRecoveryTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryRecoveryTest.java
@@ -36,6 +36,7 @@
 
 /** After failures of any kind an update arrives within the time that the protocol allows. */
 @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+@SuppressWarnings("try") // The proxy runs while its engine is asked.
 class DiscoveryRecoveryTest {
 
   private static final String DRAINING_MEMBER = DiscoveryTestSupport.member("draining");
@@ -109,6 +110,7 @@
     MALFORMED(
         connection -> connection.write("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nnot JSON\n"));
 
+    @SuppressWarnings("ImmutableEnumChecker") // A script holds no state.
     private final FakeServer.Script script;
 
     FailingCall(FakeServer.Script script) {
--- a/src/test/java/loadbalancer/discovery/DiscoveryWatchTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryWatchTest.java
@@ -24,6 +24,7 @@
 
 /** Lists arrive whole and in order, however they are laid out and cut into pieces. */
 @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+@SuppressWarnings("try") // The proxy runs while its engine is asked.
 class DiscoveryWatchTest {
 
   private static final String DRAINING_MEMBER =
@@ -69,7 +70,7 @@
           String gone =
               indented(
                   ProxyFixture.list(43, false, ProxyFixture.member("NAME", "127.0.0.1:1", "gone")));
-          for (String line : gone.split("\n")) {
+          for (String line : gone.split("\n", 0)) {
             connection.write(DiscoveryMessages.chunk(line.replace("NAME", "s-a}{\\\"")));
           }
           String first = ProxyFixture.list(44, false, READY_MEMBER);
--- a/src/test/java/loadbalancer/discovery/EndpointDirectoryTest.java
+++ b/src/test/java/loadbalancer/discovery/EndpointDirectoryTest.java
@@ -10,6 +10,7 @@
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.discovery.EndpointList.Member;
 import loadbalancer.net.MonotonicClock;
+import loadbalancer.net.SocketAddresses;
 import org.junit.jupiter.api.Test;
 
 /** Ids, incarnations and start times of endpoints. */
@@ -23,7 +24,7 @@
   }
 
   private static Member member(String name, int port, long upSinceMillis) {
-    InetSocketAddress address = new InetSocketAddress("127.0.0.1", port);
+    InetSocketAddress address = SocketAddresses.parse("address", "127.0.0.1:" + port);
     return new Member(name, address, "a", 0, EndpointState.READY, 1, upSinceMillis);
   }
 
--- a/src/test/java/loadbalancer/proxy/AttemptEndOrderTest.java
+++ b/src/test/java/loadbalancer/proxy/AttemptEndOrderTest.java
@@ -104,6 +104,8 @@
         });
 
     final AttemptStatus status;
+
+    @SuppressWarnings("ImmutableEnumChecker") // A script holds no state.
     final FakeServer.Script upstream;
 
     Ends(AttemptStatus status, FakeServer.Script upstream) {
--- a/src/test/java/loadbalancer/proxy/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/proxy/LargeFleetIT.java
@@ -7,6 +7,7 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -77,7 +78,7 @@
   }
 
   private static String askAnew(int port, String id) throws IOException {
-    try (Socket client = new Socket("127.0.0.1", port)) {
+    try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
       return ask(client, ProxyFixture.get(id, "Cookie: sid=" + id + "\r\n"));
     }
   }
@@ -178,7 +179,7 @@
       throws IOException, InterruptedException {
     List<Socket> open = new ArrayList<>();
     while (slow.requests.isEmpty()) {
-      Socket client = new Socket("127.0.0.1", port);
+      Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
       String request =
           ProxyFixture.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n");
       client.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
@@ -191,7 +192,7 @@
   /** Connects more clients than there are descriptors; each gets a response, and stays. */
   private static void connectIdle(int port, List<Socket> idle) throws IOException {
     for (int i = 0; i < 500; i++) {
-      Socket client = new Socket("127.0.0.1", port);
+      Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
       idle.add(client);
       String response = ask(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
       assertNotNull(response, "a new client gets its response");
--- a/src/test/java/loadbalancer/proxy/ReloadOrderTest.java
+++ b/src/test/java/loadbalancer/proxy/ReloadOrderTest.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.concurrent.atomic.AtomicLong;
 import loadbalancer.config.BalancerConfig;
 import loadbalancer.decision.api.EndpointState;
 import loadbalancer.decision.api.Event.EndpointListUpdate;
@@ -176,7 +175,6 @@
   @Test
   void learnsOfDrainsInTimeWhenTheNewDiscoveryIsDownAtTheReload() throws Exception {
     AtomicInteger calls = new AtomicInteger();
-    AtomicLong reloadedAt = new AtomicLong();
     ScriptedEngine engine = cues.engine("s-1", 0);
     try (FakeServer old = watched(ProxyFixture.list(2, true, READY));
         FakeServer fresh =
@@ -199,13 +197,13 @@
             new ProxyFixture(pushed(old.address(), ProxyFixture.list(1, true, READY)), engine)) {
       engine.next(EndpointListUpdate.class);
       assertEquals(UpdateKind.FULL, engine.next(EndpointListUpdate.class).kind());
-      reloadedAt.set(System.nanoTime());
+      long reloadedAt = System.nanoTime();
       reload(proxy, fresh);
       EndpointListUpdate update = engine.next(EndpointListUpdate.class);
       assertEquals(
           List.of(EndpointState.DRAINING),
           update.endpoints().stream().map(endpoint -> endpoint.state()).toList());
-      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reloadedAt.get());
+      long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - reloadedAt);
       assertTrue(millis < 3500, "known after " + millis + " ms");
     }
   }
--- a/src/test/java/loadbalancer/simulator/DecisionRecordings.java
+++ b/src/test/java/loadbalancer/simulator/DecisionRecordings.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
--- a/src/test/java/loadbalancer/simulator/DecisionScenarios.java
+++ b/src/test/java/loadbalancer/simulator/DecisionScenarios.java
@@ -109,7 +109,8 @@
     return scenario("deduplication", 18, settings, new Traffic(17, 16, 0, 8, 2, 2,
         40 * MILLISECOND, 0.1, 0, TICK),
         "0.5 RESETTING 0", "0.7 RESETTING 2", "0.9 UNREACHABLE 4", "1.4 HEALTHY 0",
-        "1.6 REFUSING 6", "2.0 HANGING 2", "2.4 FAILING 0", "2.6 DRAIN 4", "2.9 HEALTHY -1", "3.0 REMOVE 4",
+        "1.6 REFUSING 6", "2.0 HANGING 2", "2.4 FAILING 0", "2.6 DRAIN 4", "2.9 HEALTHY -1",
+        "3.0 REMOVE 4",
         "3.2 RESETTING -1", "3.5 UNSTABLE -1", "3.6 RETURN 4");
   }
 
@@ -122,7 +123,7 @@
 
   /** An incident from its second, kind and endpoint. */
   private static Incident incident(String text) {
-    String[] words = text.split(" ");
+    String[] words = text.split(" ", 0);
     return new Incident(Double.parseDouble(words[0]), IncidentKind.valueOf(words[1]),
         Integer.parseInt(words[2]));
   }
--- a/src/test/java/loadbalancer/simulator/ScenarioSettings.java
+++ b/src/test/java/loadbalancer/simulator/ScenarioSettings.java
@@ -30,7 +30,7 @@
 
   private ScenarioSettings type(
       String name, String effect, int aimMillis, int deadlineMillis, int gain, boolean stream) {
-    String[] words = effect.split(" ");
+    String[] words = effect.split(" ", 0);
     classes.add("{\"name\":\"" + name + "\",\"effect\":\"" + words[0] + "\""
         + (words.length == 1 ? "" : ",\"dedup-scope\":\"" + words[1] + "\",\"window-ns\":"
             + words[2] + "000000")
--- a/src/test/java/loadbalancer/simulator/SimulatorAdapterTest.java
+++ b/src/test/java/loadbalancer/simulator/SimulatorAdapterTest.java
@@ -38,8 +38,10 @@
           + "{\"Provision\":{\"seed\":1,\"boot-info\":{\"novel\":1.5,\"categories\":["
           + CLASS
           + "],\"registry-mode\":\"on_request\"}}},"
-          + "{\"Topology\":{\"kind\":\"C\",\"stamp\":1,\"entries\":[{\"hw\":\"x\",\"launched-ns\":null,\"pack\":0,"
-          + "\"upstream\":7,\"region-part\":\"\",\"stage-state\":\"up\",\"capacity-hint\":1}]}}]}]}";
+          + "{\"Topology\":{\"kind\":\"C\",\"stamp\":1,\"entries\":[{\"hw\":\"x\","
+          + "\"launched-ns\":null,\"pack\":0,"
+          + "\"upstream\":7,\"region-part\":\"\",\"stage-state\":\"up\","
+          + "\"capacity-hint\":1}]}}]}]}";
 
   private static String talk(String... lines) throws IOException {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -59,7 +61,8 @@
 
   private static final String JOB =
       "{\"JobIn\":{\"rid\":\"c:a\",\"service\":\"c\",\"user-group\":0,"
-          + "\"object\":\"91f03b7c55d20a64\",\"drop-dead-ns\":2500000000,\"weight-hint-ns\":null,\"retry\":false,"
+          + "\"object\":\"91f03b7c55d20a64\",\"drop-dead-ns\":2500000000,"
+          + "\"weight-hint-ns\":null,\"retry\":false,"
           + "\"write\":false}}";
 
   @Test
@@ -92,11 +95,13 @@
             batch(
                 1_155_000_000L,
                 "{\"Resolved\":{\"rid\":\"c:a\",\"go\":0,\"upstream\":7,\"rc\":\"served\","
-                    + "\"wait-time-ns\":15000000,\"done-flag\":true,\"usage\":{\"util\":0.5,\"odd\":\"x\"}}}"),
+                    + "\"wait-time-ns\":15000000,\"done-flag\":true,"
+                    + "\"usage\":{\"util\":0.5,\"odd\":\"x\"}}}"),
             batch(1_156_000_000L, "{\"Aborted\":{\"rid\":\"c:a\"}}"),
             batch(
                 1_157_000_000L,
-                "{\"HealthResult\":{\"rc\":\"served\",\"upstream\":7,\"wait-time-ns\":5,\"usage\":null}},"
+                "{\"HealthResult\":{\"rc\":\"served\",\"upstream\":7,\"wait-time-ns\":5,"
+                    + "\"usage\":null}},"
                     + "{\"Datagram\":{\"neighbour\":0,\"octets\":\"aGkgNw==\"}}"),
             batch(1_158_000_000L, "{\"Kill\":{}}")));
   }
@@ -121,10 +126,13 @@
     }
     assertEquals(
         "[{\"Deliver\":{\"rid\":\"a\",\"patience-ns\":5,\"upstream\":7}},"
-            + "{\"AbortAttempt\":{\"rid\":\"a\",\"go\":1}},{\"Decline\":{\"rid\":\"a\",\"not-before-for-ns\":9}},"
-            + "{\"DropRequest\":{\"rid\":\"a\"}},{\"SetTimer\":{\"handle\":\"t\",\"fire-at-ns\":3}},"
+            + "{\"AbortAttempt\":{\"rid\":\"a\",\"go\":1}},"
+            + "{\"Decline\":{\"rid\":\"a\",\"not-before-for-ns\":9}},"
+            + "{\"DropRequest\":{\"rid\":\"a\"}},"
+            + "{\"SetTimer\":{\"handle\":\"t\",\"fire-at-ns\":3}},"
             + "{\"Observe\":{\"enable\":false}},{\"Resolve\":{}},{\"SoundOut\":{\"upstream\":7}},"
-            + "{\"Release\":{\"upstream\":7}},{\"BroadcastTo\":{\"recipient\":-1,\"octets\":\"aGkgNw==\"}},"
+            + "{\"Release\":{\"upstream\":7}},"
+            + "{\"BroadcastTo\":{\"recipient\":-1,\"octets\":\"aGkgNw==\"}},"
             + "{\"Emit\":{\"note-text\":\"x\"}}]",
         text.toString());
   }
@@ -156,10 +164,10 @@
             + " unknown event",
         "{\"clock-ns\":1,\"groups\":[{\"balancer\":3,\"msgs\":[{\"Fired\":{}}]}]} | Fired.handle:"
             + " expected a text",
-        "{\"clock-ns\":1,\"groups\":[{\"balancer\":3,\"msgs\":[{\"HealthResult\":{\"rc\":\"fine\"}}]}]}"
-            + " | expected a whole",
-        "{\"clock-ns\":1,\"groups\":[{\"balancer\":3,\"msgs\":[{\"HealthResult\":{\"upstream\":1,\"rc\":\"fine\"}}]}]}"
-            + " | rc: expected one of",
+        "{\"clock-ns\":1,\"groups\":[{\"balancer\":3,\"msgs\":["
+            + "{\"HealthResult\":{\"rc\":\"fine\"}}]}]} | expected a whole",
+        "{\"clock-ns\":1,\"groups\":[{\"balancer\":3,\"msgs\":["
+            + "{\"HealthResult\":{\"upstream\":1,\"rc\":\"fine\"}}]}]} | rc: expected one of",
         "{\"clock-ns\":1,\"groups\":[]} {} | expected one value a line"
       })
   void rejectsMalformedInputWithItsLineAndField(String line, String message) {
--- a/src/test/java/loadbalancer/testing/FakeServer.java
+++ b/src/test/java/loadbalancer/testing/FakeServer.java
@@ -128,7 +128,7 @@
         }
         bytes.write(next);
       }
-      for (String line : bytes.toString(StandardCharsets.ISO_8859_1).split("\r\n")) {
+      for (String line : bytes.toString(StandardCharsets.ISO_8859_1).split("\r\n", 0)) {
         if (line.toLowerCase(Locale.ROOT).startsWith(LENGTH)) {
           int length = Integer.parseInt(line.substring(LENGTH.length()).trim());
           bytes.write(in.readNBytes(length));
