--- /dev/null
+++ b/src/test/java/loadbalancer/ArchitectureTest.java
@@ -0,0 +1,209 @@
+package loadbalancer;
+
+import static com.tngtech.archunit.base.DescribedPredicate.not;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAPackage;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static com.tngtech.archunit.library.dependencies.SlicesRuleDefinition.slices;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The rules between packages: decisions are pure, what is below knows nothing of what is above. */
+@AnalyzeClasses(packages = "loadbalancer", importOptions = ImportOption.DoNotIncludeTests.class)
+class ArchitectureTest {
+
+  private static final Path SOURCES = Path.of("src/main/java");
+
+  /**
+   * Every package right below the root; a new one has to be named here and so comes under the
+   * rules.
+   */
+  private static final Set<String> TOP_PACKAGES =
+      Set.of(
+          "config",
+          "decision",
+          "discovery",
+          "downstream",
+          "gossip",
+          "http",
+          "json",
+          "net",
+          "proxy",
+          "simulator",
+          "telemetry",
+          "upstream");
+
+  /**
+   * No I/O, no clock, no threads, no logging, no libraries: only these, and no part of them below.
+   */
+  @ArchTest
+  final ArchRule decisionsDependOnNothingButThemselves =
+      classes()
+          .that()
+          .resideInAPackage("loadbalancer.decision..")
+          .should()
+          .onlyDependOnClassesThat()
+          .resideInAnyPackage(
+              "loadbalancer.decision..",
+              "java.lang",
+              "java.util",
+              "java.util.function",
+              "java.util.stream");
+
+  /** What java.lang and java.util hold of clocks, environment, processes, threads and input. */
+  @ArchTest
+  final ArchRule decisionsReachNoClockNoEnvironmentAndNoThread =
+      noClasses()
+          .that()
+          .resideInAPackage("loadbalancer.decision..")
+          .should()
+          .dependOnClassesThat()
+          .haveNameMatching(
+              "java\\.lang\\.(System|Runtime|Process|ProcessBuilder|ProcessHandle|Thread"
+                  + "|ThreadGroup|ThreadLocal|InheritableThreadLocal|ClassLoader|Module"
+                  + "|ModuleLayer|StackWalker)(\\$.*)?"
+                  + "|java\\.util\\.(Calendar|Currency|Date|GregorianCalendar|Locale|Properties"
+                  + "|ResourceBundle|Scanner|ServiceLoader|Timer|TimerTask|TimeZone|UUID)(\\$.*)?");
+
+  /** The only chance in a decision is the seed that it was handed. */
+  @ArchTest
+  final ArchRule decisionsTakeChanceFromTheirSeedAlone =
+      noClasses()
+          .that()
+          .resideInAPackage("loadbalancer.decision..")
+          .should()
+          .callMethod(Math.class, "random")
+          .orShould()
+          .callMethod(StrictMath.class, "random")
+          .orShould()
+          .callConstructor(java.util.Random.class)
+          .orShould()
+          .callConstructor(SplittableRandom.class);
+
+  @ArchTest
+  final ArchRule theInterfaceOfDecisionsKnowsNothingBehindIt =
+      classes()
+          .that()
+          .resideInAPackage("loadbalancer.decision.api..")
+          .should()
+          .onlyDependOnClassesThat()
+          .resideInAnyPackage("loadbalancer.decision.api..", "java..");
+
+  @ArchTest
+  final ArchRule topPackagesAreFreeOfCycles =
+      slices().matching("loadbalancer.(*)..").should().beFreeOfCycles();
+
+  /** What each package may use besides itself, the interface of decisions, http, json and net. */
+  private static final Map<String, Set<String>> ALLOWED =
+      Map.of(
+          "config", Set.of("discovery"),
+          "decision", Set.of(),
+          "discovery", Set.of(),
+          "downstream", Set.of("telemetry", "upstream"),
+          "gossip", Set.of(),
+          "simulator", Set.of("config", "decision"),
+          "telemetry", Set.of(),
+          "upstream", Set.of());
+
+  private static final Set<String> COMMON = Set.of("decision.api", "http", "json", "net");
+
+  @ArchTest
+  void packagesUseOnlyWhatTheyMay(JavaClasses classes) {
+    ALLOWED.forEach(
+        (name, allowed) -> {
+          DescribedPredicate<JavaClass> own =
+              resideInAnyPackage(
+                  Stream.of(Stream.of(name), allowed.stream(), COMMON.stream())
+                      .flatMap(packages -> packages)
+                      .map(used -> "loadbalancer." + used + "..")
+                      .toArray(String[]::new));
+          noClasses()
+              .that()
+              .resideInAPackage("loadbalancer." + name + "..")
+              .should()
+              .dependOnClassesThat(resideInAPackage("loadbalancer..").and(not(own)))
+              .check(classes);
+        });
+  }
+
+  /** What of the JDK is not for all to use: the signals of the entry point alone. */
+  @ArchTest
+  final ArchRule onlyTheEntryPointUsesInternalsOfTheJdk =
+      noClasses()
+          .that()
+          .doNotHaveFullyQualifiedName("loadbalancer.proxy.ServeCommand")
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage("sun..", "com.sun..", "jdk..");
+
+  @ArchTest
+  final ArchRule nothingDependsOnTheRoot =
+      noClasses()
+          .that()
+          .resideInAPackage("loadbalancer.*..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("loadbalancer");
+
+  @ArchTest
+  final ArchRule onlyTheRootKnowsTheSimulator =
+      noClasses()
+          .that()
+          .resideInAPackage("loadbalancer.*..")
+          .and()
+          .resideOutsideOfPackage("loadbalancer.simulator..")
+          .should()
+          .dependOnClassesThat()
+          .resideInAPackage("loadbalancer.simulator..");
+
+  @ArchTest
+  final ArchRule theProgramKnowsNoTestsAndNoTools =
+      noClasses()
+          .should()
+          .dependOnClassesThat()
+          .resideInAnyPackage(
+              "org.junit..",
+              "org.assertj..",
+              "org.opentest4j..",
+              "com.tngtech..",
+              "com.google.errorprone..",
+              "com.puppycrawl..",
+              "com.diffplug..");
+
+  @ArchTest
+  void topPackagesAreThoseNamedHere(JavaClasses classes) {
+    Set<String> found =
+        classes.stream()
+            .map(JavaClass::getPackageName)
+            .filter(name -> name.startsWith("loadbalancer."))
+            .map(name -> name.split("\\.", 0)[1])
+            .collect(Collectors.toCollection(TreeSet::new));
+    assertEquals(new TreeSet<>(TOP_PACKAGES), found);
+  }
+
+  @ArchTest
+  void everyPackageSaysWhatItIs(JavaClasses classes) {
+    for (String name :
+        classes.stream().map(JavaClass::getPackageName).collect(Collectors.toSet())) {
+      Path file = SOURCES.resolve(name.replace('.', '/')).resolve("package-info.java");
+      assertTrue(Files.isRegularFile(file), "missing: " + file);
+    }
+  }
+}
