--- a/src/test/java/loadbalancer/PackagedJarIT.java
+++ b/src/test/java/loadbalancer/PackagedJarIT.java
@@ -213,8 +213,10 @@
   }
 
   private void awaitLine(Process process, String what) throws IOException, InterruptedException {
+    long deadlineNanos = System.nanoTime() + TimeUnit.MINUTES.toNanos(1);
     while (!text("err").contains(what)) {
       assertTrue(process.isAlive(), text("err"));
+      assertTrue(System.nanoTime() < deadlineNanos, () -> "no line with " + what);
       Thread.sleep(10);
     }
   }
