--- a/src/test/java/loadbalancer/simulator/DecisionRecorder.java
+++ b/src/test/java/loadbalancer/simulator/DecisionRecorder.java
@@ -25,8 +25,8 @@
   void recordAnew() throws IOException {
     Files.createDirectories(DecisionRecordings.DIRECTORY);
     for (DecisionScenario scenario : DecisionScenarios.reviewed()) {
-      Files.write(DecisionRecordings.file(scenario.name()),
-          DecisionRecordings.conversation(scenario));
+      Files.write(
+          DecisionRecordings.file(scenario.name()), DecisionRecordings.conversation(scenario));
     }
     List<String> digests = new ArrayList<>();
     for (DecisionScenario scenario : DecisionScenarios.hashed()) {
--- a/src/test/java/loadbalancer/simulator/DecisionRecordingTest.java
+++ b/src/test/java/loadbalancer/simulator/DecisionRecordingTest.java
@@ -56,31 +56,41 @@
   void recordedEventsGetTheRecordedActions(String name) throws IOException {
     Iterator<String> lines = lines(name).iterator();
     int[] line = {0};
-    EngineConversation.run(reply -> {
-      if (reply != null) {
-        line[0]++;
-        assertEquals(lines.next(), reply,
-            () -> DecisionRecordings.file(name) + " line " + line[0] + ": decisions moved");
-      }
-      line[0]++;
-      return lines.hasNext() ? lines.next() : null;
-    });
+    EngineConversation.run(
+        reply -> {
+          if (reply != null) {
+            line[0]++;
+            assertEquals(
+                lines.next(),
+                reply,
+                () -> DecisionRecordings.file(name) + " line " + line[0] + ": decisions moved");
+          }
+          line[0]++;
+          return lines.hasNext() ? lines.next() : null;
+        });
     assertEquals(lines(name).size(), line[0] - 1);
   }
 
   @ParameterizedTest(name = "{0}")
   @MethodSource("hashed")
   void longRunsGetTheRecordedActions(DecisionScenario scenario) throws IOException {
-    String expected = Files.readAllLines(DecisionRecordings.DIGESTS).stream()
-        .filter(l -> l.startsWith(scenario.name() + " ")).findFirst().orElse(null);
-    assertEquals(expected, DecisionRecordings.digest(scenario),
+    String expected =
+        Files.readAllLines(DecisionRecordings.DIGESTS).stream()
+            .filter(l -> l.startsWith(scenario.name() + " "))
+            .findFirst()
+            .orElse(null);
+    assertEquals(
+        expected,
+        DecisionRecordings.digest(scenario),
         () -> DecisionRecordings.DIGESTS + " " + scenario.name() + ": decisions moved");
   }
 
   @Test
   void everyHashBelongsToALongRun() throws IOException {
-    List<String> names = Files.readAllLines(DecisionRecordings.DIGESTS).stream()
-        .map(l -> l.substring(0, l.indexOf(' '))).toList();
+    List<String> names =
+        Files.readAllLines(DecisionRecordings.DIGESTS).stream()
+            .map(l -> l.substring(0, l.indexOf(' ')))
+            .toList();
     assertEquals(hashed().map(DecisionScenario::name).toList(), names);
   }
 
@@ -100,38 +110,78 @@
   /** What the files contain at least so often; {@link RecordingCoverage} says how it counts. */
   @ParameterizedTest
   @CsvSource({
-    "setting list pushed, 4", "setting list on_request, 2",
-    "setting weights none, 1", "setting weights nominal, 1", "setting weights rough, 1",
-    "setting weights live, 1", "setting warm keys true, 2", "setting warm keys false, 2",
-    "setting group of 1, 2", "setting group of 4, 2", "setting group of 100, 1",
-    "setting tenants with quotas, 2", "setting tenants without quotas, 1",
-    "setting tenants none, 3", "setting hedges true, 5", "setting hedges false, 1",
-    "setting retry-after true, 5", "setting retry-after false, 1",
-    "setting effect idempotent, 5", "setting effect at_most_once, 3",
-    "setting effect deduplicated all, 3", "setting effect deduplicated zone, 2",
+    "setting list pushed, 4",
+    "setting list on_request, 2",
+    "setting weights none, 1",
+    "setting weights nominal, 1",
+    "setting weights rough, 1",
+    "setting weights live, 1",
+    "setting warm keys true, 2",
+    "setting warm keys false, 2",
+    "setting group of 1, 2",
+    "setting group of 4, 2",
+    "setting group of 100, 1",
+    "setting tenants with quotas, 2",
+    "setting tenants without quotas, 1",
+    "setting tenants none, 3",
+    "setting hedges true, 5",
+    "setting hedges false, 1",
+    "setting retry-after true, 5",
+    "setting retry-after false, 1",
+    "setting effect idempotent, 5",
+    "setting effect at_most_once, 3",
+    "setting effect deduplicated all, 3",
+    "setting effect deduplicated zone, 2",
     "setting effect deduplicated cell, 1",
-    "event request, 600", "event request with key, 300", "event request without key, 100",
-    "event request with heavy hint, 5", "event client retry, 10", "event client disconnected, 15",
-    "event stream started, 10", "event timer sweep, 300", "event timer ask, 3",
-    "event list C, 8", "event list D, 12", "event list F, 2", "event list X, 4",
-    "event endpoint draining, 3", "event endpoint removed, 4", "event endpoint restarted, 5",
-    "outcome served, 400", "outcome server_error, 50", "outcome turned_away, 15",
-    "outcome no_answer, 8", "outcome no_connection, 3", "outcome connection_lost, 8",
+    "event request, 600",
+    "event request with key, 300",
+    "event request without key, 100",
+    "event request with heavy hint, 5",
+    "event client retry, 10",
+    "event client disconnected, 15",
+    "event stream started, 10",
+    "event timer sweep, 300",
+    "event timer ask, 3",
+    "event list C, 8",
+    "event list D, 12",
+    "event list F, 2",
+    "event list X, 4",
+    "event endpoint draining, 3",
+    "event endpoint removed, 4",
+    "event endpoint restarted, 5",
+    "outcome served, 400",
+    "outcome server_error, 50",
+    "outcome turned_away, 15",
+    "outcome no_answer, 8",
+    "outcome no_connection, 3",
+    "outcome connection_lost, 8",
     "outcome called_off, 5",
-    "decision retry, 50", "decision hedge, 5", "decision held then sent, 10",
-    "decision held then declined, 5", "decision declined at once, 30",
-    "decision declined with retry-after, 30", "decision declined without retry-after, 5",
-    "decision dropped at_most_once, 10", "decision dropped deduplicated, 3",
-    "decision attempt aborted, 10", "decision subscribed to list, 2",
-    "decision list called again, 4", "decision ejection, 6", "decision end of ejection, 4",
-    "decision panic, 5", "decision sent to cold endpoint, 30", "decision retry budget spent, 5",
-    "decision repeated in all, 5", "decision repeated in zone, 3", "decision repeated in cell, 1",
+    "decision retry, 50",
+    "decision hedge, 5",
+    "decision held then sent, 10",
+    "decision held then declined, 5",
+    "decision declined at once, 30",
+    "decision declined with retry-after, 30",
+    "decision declined without retry-after, 5",
+    "decision dropped at_most_once, 10",
+    "decision dropped deduplicated, 3",
+    "decision attempt aborted, 10",
+    "decision subscribed to list, 2",
+    "decision list called again, 4",
+    "decision ejection, 6",
+    "decision end of ejection, 4",
+    "decision panic, 5",
+    "decision sent to cold endpoint, 30",
+    "decision retry budget spent, 5",
+    "decision repeated in all, 5",
+    "decision repeated in zone, 3",
+    "decision repeated in cell, 1",
     "decision at_most_once sent again, 3"
   })
   void everyKindOfEventAndDecisionIsRecorded(String what, int least) {
     int count = coverage.count(what);
-    assertTrue(count >= least,
-        () -> what + ": " + count + " times, not " + least + " in " + coverage);
+    assertTrue(
+        count >= least, () -> what + ": " + count + " times, not " + least + " in " + coverage);
   }
 
   @Test
--- a/src/test/java/loadbalancer/simulator/DecisionRecordings.java
+++ b/src/test/java/loadbalancer/simulator/DecisionRecordings.java
@@ -30,16 +30,17 @@
   static List<String> conversation(DecisionScenario scenario) throws IOException {
     ScenarioPlayer player = new ScenarioPlayer(scenario);
     List<String> lines = new ArrayList<>();
-    EngineConversation.run(reply -> {
-      if (reply != null) {
-        lines.add(reply);
-      }
-      String batch = player.apply(reply);
-      if (batch != null) {
-        lines.add(batch);
-      }
-      return batch;
-    });
+    EngineConversation.run(
+        reply -> {
+          if (reply != null) {
+            lines.add(reply);
+          }
+          String batch = player.apply(reply);
+          if (batch != null) {
+            lines.add(batch);
+          }
+          return batch;
+        });
     return lines;
   }
 
@@ -47,14 +48,19 @@
   static String digest(DecisionScenario scenario) throws IOException {
     ScenarioPlayer player = new ScenarioPlayer(scenario);
     MessageDigest sha256 = sha256();
-    EngineConversation.run(reply -> {
-      if (reply != null) {
-        sha256.update((reply + "\n").getBytes(StandardCharsets.UTF_8));
-      }
-      return player.apply(reply);
-    });
-    return String.join(" ", scenario.name(), String.valueOf(scenario.seed()),
-        String.valueOf(player.events()), HexFormat.of().formatHex(sha256.digest()));
+    EngineConversation.run(
+        reply -> {
+          if (reply != null) {
+            sha256.update((reply + "\n").getBytes(StandardCharsets.UTF_8));
+          }
+          return player.apply(reply);
+        });
+    return String.join(
+        " ",
+        scenario.name(),
+        String.valueOf(scenario.seed()),
+        String.valueOf(player.events()),
+        HexFormat.of().formatHex(sha256.digest()));
   }
 
   private static MessageDigest sha256() {
--- a/src/test/java/loadbalancer/simulator/DecisionScenarios.java
+++ b/src/test/java/loadbalancer/simulator/DecisionScenarios.java
@@ -2,13 +2,13 @@
 
 import static loadbalancer.simulator.DecisionScenario.MILLISECOND;
 
-import loadbalancer.simulator.DecisionScenario.Incident;
-import loadbalancer.simulator.DecisionScenario.IncidentKind;
-import loadbalancer.simulator.DecisionScenario.Traffic;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import loadbalancer.simulator.DecisionScenario.Incident;
+import loadbalancer.simulator.DecisionScenario.IncidentKind;
+import loadbalancer.simulator.DecisionScenario.Traffic;
 
 /** The scenarios of which the engine's decisions are recorded. */
 final class DecisionScenarios {
@@ -23,109 +23,224 @@
 
   /** The short scenarios, whose recordings are kept in full. */
   static List<DecisionScenario> reviewed() {
-    return List.of(ejection(), hedges(), polledList(), quotas(), slowStart(), coldFleet(),
-        retryBudget(), deduplication());
+    return List.of(
+        ejection(),
+        hedges(),
+        polledList(),
+        quotas(),
+        slowStart(),
+        coldFleet(),
+        retryBudget(),
+        deduplication());
   }
 
   private static DecisionScenario ejection() {
-    ScenarioSettings settings = new ScenarioSettings().warmKeys()
-        .type("read", "idempotent", 400, 2000, 3).type("order", "at_most_once", 600, 2000, 5);
-    return scenario("ejection", 11, settings, new Traffic(20, 12, 0, 4, 1, 2, 40 * MILLISECOND,
-        0.02, 0.02, TICK),
-        "0.7 FAILING 1", "2.0 HEALTHY 1", "2.4 RESETTING 2", "2.7 SLOW 0", "3.2 HEALTHY 2",
-        "3.4 DRAIN 3", "3.5 REFUSING 0", "3.9 REMOVE 3", "4.0 FAILING -1", "4.3 HEALTHY -1");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .warmKeys()
+            .type("read", "idempotent", 400, 2000, 3)
+            .type("order", "at_most_once", 600, 2000, 5);
+    return scenario(
+        "ejection",
+        11,
+        settings,
+        new Traffic(20, 12, 0, 4, 1, 2, 40 * MILLISECOND, 0.02, 0.02, TICK),
+        "0.7 FAILING 1",
+        "2.0 HEALTHY 1",
+        "2.4 RESETTING 2",
+        "2.7 SLOW 0",
+        "3.2 HEALTHY 2",
+        "3.4 DRAIN 3",
+        "3.5 REFUSING 0",
+        "3.9 REMOVE 3",
+        "4.0 FAILING -1",
+        "4.3 HEALTHY -1");
   }
 
   private static DecisionScenario hedges() {
-    ScenarioSettings settings = new ScenarioSettings().groupOf(4).weights("nominal")
-        .type("read", "idempotent", 800, 2000, 3)
-        .type("update", "deduplicated zone 700", 800, 2000, 4)
-        .stream("feed", 800, 1500, 2);
-    return scenario("hedges", 12, settings, new Traffic(20, 20, 0, 3, 2, 3, 30 * MILLISECOND,
-        0.15, 0, TICK),
-        "0.8 HANGING 0", "1.5 HEALTHY 0", "2.0 HANGING 2", "2.6 HEALTHY 2", "3.0 HANGING 0",
-        "3.5 HEALTHY 0", "3.9 HANGING 2");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+                .groupOf(4)
+                .weights("nominal")
+                .type("read", "idempotent", 800, 2000, 3)
+                .type("update", "deduplicated zone 700", 800, 2000, 4)
+                .stream("feed", 800, 1500, 2);
+    return scenario(
+        "hedges",
+        12,
+        settings,
+        new Traffic(20, 20, 0, 3, 2, 3, 30 * MILLISECOND, 0.15, 0, TICK),
+        "0.8 HANGING 0",
+        "1.5 HEALTHY 0",
+        "2.0 HANGING 2",
+        "2.6 HEALTHY 2",
+        "3.0 HANGING 0",
+        "3.5 HEALTHY 0",
+        "3.9 HANGING 2");
   }
 
   private static DecisionScenario polledList() {
-    ScenarioSettings settings = new ScenarioSettings().polledList().weights("rough")
-        .withoutHedges().withoutRetryAfter()
-        .tenant("t1", 0.6, 0).tenant("t2", 0.4, 0)
-        .type("read", "idempotent", 400, 1500, 3).type("order", "at_most_once", 400, 1500, 5);
-    return scenario("polled-list", 13, settings, new Traffic(17, 10, 0, 3, 2, 1, 60 * MILLISECOND,
-        0.12, 0.1, TICK),
-        "0.6 HANGING 1", "0.9 LIST_FAILURE 0", "1.0 DRAIN 1", "1.4 REMOVE 1", "1.8 RESTART 3",
-        "2.2 CROWD 0", "2.4 LIST_FAILURE 0", "2.5 REMOVE 0", "2.6 REMOVE 2", "2.7 REMOVE 3",
-        "2.8 CALM 0", "3.6 RETURN 0", "3.7 RETURN 2", "3.9 FULL_LIST 0");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .polledList()
+            .weights("rough")
+            .withoutHedges()
+            .withoutRetryAfter()
+            .tenant("t1", 0.6, 0)
+            .tenant("t2", 0.4, 0)
+            .type("read", "idempotent", 400, 1500, 3)
+            .type("order", "at_most_once", 400, 1500, 5);
+    return scenario(
+        "polled-list",
+        13,
+        settings,
+        new Traffic(17, 10, 0, 3, 2, 1, 60 * MILLISECOND, 0.12, 0.1, TICK),
+        "0.6 HANGING 1",
+        "0.9 LIST_FAILURE 0",
+        "1.0 DRAIN 1",
+        "1.4 REMOVE 1",
+        "1.8 RESTART 3",
+        "2.2 CROWD 0",
+        "2.4 LIST_FAILURE 0",
+        "2.5 REMOVE 0",
+        "2.6 REMOVE 2",
+        "2.7 REMOVE 3",
+        "2.8 CALM 0",
+        "3.6 RETURN 0",
+        "3.7 RETURN 2",
+        "3.9 FULL_LIST 0");
   }
 
   private static DecisionScenario quotas() {
-    ScenarioSettings settings = new ScenarioSettings().groupOf(4).weights("live").warmKeys()
-        .tenant("t1", 0.4, 16).tenant("t2", 0.35, 28).tenant("t3", 0.25, 20)
-        .type("read", "idempotent", 400, 1200, 3)
-        .type("write", "deduplicated all 1000", 500, 1200, 4);
-    return scenario("quotas", 14, settings, new Traffic(12, 9, 0, 3, 1, 1, 90 * MILLISECOND,
-        0.02, 0, TICK),
-        "0.8 CROWD 0", "2.4 CALM 0");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .groupOf(4)
+            .weights("live")
+            .warmKeys()
+            .tenant("t1", 0.4, 16)
+            .tenant("t2", 0.35, 28)
+            .tenant("t3", 0.25, 20)
+            .type("read", "idempotent", 400, 1200, 3)
+            .type("write", "deduplicated all 1000", 500, 1200, 4);
+    return scenario(
+        "quotas",
+        14,
+        settings,
+        new Traffic(12, 9, 0, 3, 1, 1, 90 * MILLISECOND, 0.02, 0, TICK),
+        "0.8 CROWD 0",
+        "2.4 CALM 0");
   }
 
   private static DecisionScenario slowStart() {
-    ScenarioSettings settings = new ScenarioSettings().polledList().groupOf(100)
-        .weights("nominal").slowStart(0.14, 6000, 3)
-        .type("read", "idempotent", 400, 2000, 3)
-        .type("write", "deduplicated all 600", 400, 2000, 3);
-    return scenario("slow-start", 15, settings, new Traffic(23, 0, 0, 4, 2, 2, 40 * MILLISECOND,
-        0.1, 0.05, TICK),
-        "1.0 RESTART 0", "1.3 RESTART 5", "2.0 UNREACHABLE 1", "2.6 RESTART 1", "3.4 DRAIN 2",
-        "3.6 REMOVE 2", "4.0 RETURN 2");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .polledList()
+            .groupOf(100)
+            .weights("nominal")
+            .slowStart(0.14, 6000, 3)
+            .type("read", "idempotent", 400, 2000, 3)
+            .type("write", "deduplicated all 600", 400, 2000, 3);
+    return scenario(
+        "slow-start",
+        15,
+        settings,
+        new Traffic(23, 0, 0, 4, 2, 2, 40 * MILLISECOND, 0.1, 0.05, TICK),
+        "1.0 RESTART 0",
+        "1.3 RESTART 5",
+        "2.0 UNREACHABLE 1",
+        "2.6 RESTART 1",
+        "3.4 DRAIN 2",
+        "3.6 REMOVE 2",
+        "4.0 RETURN 2");
   }
 
   private static DecisionScenario coldFleet() {
-    ScenarioSettings settings = new ScenarioSettings().slowStart(0.25, 4000, 2).warmKeys()
-        .type("read", "idempotent", 500, 1500, 3).type("order", "at_most_once", 500, 1500, 5);
-    return scenario("cold-fleet", 16, settings, new Traffic(18, 8, 12 * MILLISECOND, 4, 1, 2,
-        30 * MILLISECOND, 0.02, 0, TICK),
-        "0 RESTART -1", "1.6 RESTART 2", "2.4 CROWD 0", "3.2 CALM 0", "3.6 SLOW 1");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .slowStart(0.25, 4000, 2)
+            .warmKeys()
+            .type("read", "idempotent", 500, 1500, 3)
+            .type("order", "at_most_once", 500, 1500, 5);
+    return scenario(
+        "cold-fleet",
+        16,
+        settings,
+        new Traffic(18, 8, 12 * MILLISECOND, 4, 1, 2, 30 * MILLISECOND, 0.02, 0, TICK),
+        "0 RESTART -1",
+        "1.6 RESTART 2",
+        "2.4 CROWD 0",
+        "3.2 CALM 0",
+        "3.6 SLOW 1");
   }
 
   private static DecisionScenario retryBudget() {
-    ScenarioSettings settings = new ScenarioSettings().groupOf(4)
-        .type("read", "idempotent", 400, 1500, 3)
-        .type("write", "deduplicated all 800", 400, 1500, 4)
-        .type("order", "at_most_once", 400, 1500, 5);
-    return scenario("retry-budget", 17, settings, new Traffic(17, 0, 0, 4, 2, 2,
-        40 * MILLISECOND, 0, 0, TICK),
-        "0.4 FAILING -1", "1.4 HEALTHY -1", "2.2 UNSTABLE -1", "3.4 HEALTHY -1",
-        "3.6 REFUSING -1", "4.0 HEALTHY -1");
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .groupOf(4)
+            .type("read", "idempotent", 400, 1500, 3)
+            .type("write", "deduplicated all 800", 400, 1500, 4)
+            .type("order", "at_most_once", 400, 1500, 5);
+    return scenario(
+        "retry-budget",
+        17,
+        settings,
+        new Traffic(17, 0, 0, 4, 2, 2, 40 * MILLISECOND, 0, 0, TICK),
+        "0.4 FAILING -1",
+        "1.4 HEALTHY -1",
+        "2.2 UNSTABLE -1",
+        "3.4 HEALTHY -1",
+        "3.6 REFUSING -1",
+        "4.0 HEALTHY -1");
   }
 
   private static DecisionScenario deduplication() {
-    ScenarioSettings settings = new ScenarioSettings().groupOf(4).weights("rough")
-        .tenant("t1", 0.7, 60).tenant("t2", 0.3, 40)
-        .type("update", "deduplicated zone 400", 400, 1500, 3)
-        .type("cart", "deduplicated cell 300", 400, 1500, 3)
-        .type("write", "deduplicated all 100", 400, 1500, 3)
-        .type("order", "at_most_once", 400, 1500, 5);
-    return scenario("deduplication", 18, settings, new Traffic(17, 16, 0, 8, 2, 2,
-        40 * MILLISECOND, 0.1, 0, TICK),
-        "0.5 RESETTING 0", "0.7 RESETTING 2", "0.9 UNREACHABLE 4", "1.4 HEALTHY 0",
-        "1.6 REFUSING 6", "2.0 HANGING 2", "2.4 FAILING 0", "2.6 DRAIN 4", "2.9 HEALTHY -1",
+    ScenarioSettings settings =
+        new ScenarioSettings()
+            .groupOf(4)
+            .weights("rough")
+            .tenant("t1", 0.7, 60)
+            .tenant("t2", 0.3, 40)
+            .type("update", "deduplicated zone 400", 400, 1500, 3)
+            .type("cart", "deduplicated cell 300", 400, 1500, 3)
+            .type("write", "deduplicated all 100", 400, 1500, 3)
+            .type("order", "at_most_once", 400, 1500, 5);
+    return scenario(
+        "deduplication",
+        18,
+        settings,
+        new Traffic(17, 16, 0, 8, 2, 2, 40 * MILLISECOND, 0.1, 0, TICK),
+        "0.5 RESETTING 0",
+        "0.7 RESETTING 2",
+        "0.9 UNREACHABLE 4",
+        "1.4 HEALTHY 0",
+        "1.6 REFUSING 6",
+        "2.0 HANGING 2",
+        "2.4 FAILING 0",
+        "2.6 DRAIN 4",
+        "2.9 HEALTHY -1",
         "3.0 REMOVE 4",
-        "3.2 RESETTING -1", "3.5 UNSTABLE -1", "3.6 RETURN 4");
+        "3.2 RESETTING -1",
+        "3.5 UNSTABLE -1",
+        "3.6 RETURN 4");
   }
 
   private static DecisionScenario scenario(
       String name, long seed, ScenarioSettings settings, Traffic traffic, String... incidents) {
-    return new DecisionScenario(name, seed, settings.json(), traffic,
-        Arrays.stream(incidents).map(DecisionScenarios::incident).toList(), BATCHES,
+    return new DecisionScenario(
+        name,
+        seed,
+        settings.json(),
+        traffic,
+        Arrays.stream(incidents).map(DecisionScenarios::incident).toList(),
+        BATCHES,
         Integer.MAX_VALUE);
   }
 
   /** An incident from its second, kind and endpoint. */
   private static Incident incident(String text) {
     String[] words = text.split(" ", 0);
-    return new Incident(Double.parseDouble(words[0]), IncidentKind.valueOf(words[1]),
-        Integer.parseInt(words[2]));
+    return new Incident(
+        Double.parseDouble(words[0]), IncidentKind.valueOf(words[1]), Integer.parseInt(words[2]));
   }
 
   /**
@@ -146,11 +261,26 @@
     long seed = base.seed() * 100 + load;
     Traffic small = base.traffic();
     double perEndpoint = small.requestsPerSecond() / small.endpoints();
-    Traffic traffic = new Traffic(perEndpoint * LONG_ENDPOINTS * (1 + 1.5 * load),
-        small.keys() * 20, small.hintNanos(), LONG_ENDPOINTS, small.zones(), small.workers() + 1,
-        small.serviceNanos(), small.disconnectShare(), small.hurriedShare(), TICK / 5);
-    return new DecisionScenario("long-" + base.name() + "-" + (load + 1), seed, base.settings(),
-        traffic, randomIncidents(seed), Integer.MAX_VALUE, LONG_EVENTS);
+    Traffic traffic =
+        new Traffic(
+            perEndpoint * LONG_ENDPOINTS * (1 + 1.5 * load),
+            small.keys() * 20,
+            small.hintNanos(),
+            LONG_ENDPOINTS,
+            small.zones(),
+            small.workers() + 1,
+            small.serviceNanos(),
+            small.disconnectShare(),
+            small.hurriedShare(),
+            TICK / 5);
+    return new DecisionScenario(
+        "long-" + base.name() + "-" + (load + 1),
+        seed,
+        base.settings(),
+        traffic,
+        randomIncidents(seed),
+        Integer.MAX_VALUE,
+        LONG_EVENTS);
   }
 
   /** One incident a second or so, one in five of them fleet-wide; each ends after a while. */
--- a/src/test/java/loadbalancer/simulator/RecordingCoverage.java
+++ b/src/test/java/loadbalancer/simulator/RecordingCoverage.java
@@ -36,7 +36,8 @@
       WireJson batch = WireJson.parse(lines.get(i));
       now = batch.integer("clock-ns");
       batch.messages("msgs").forEach(m -> event(m.messageName(), m.messageFields()));
-      WireJson.parse(lines.get(i + 1)).messages("actions")
+      WireJson.parse(lines.get(i + 1))
+          .messages("actions")
           .forEach(a -> action(a.messageName(), a.messageFields()));
     }
   }
@@ -87,16 +88,21 @@
     add("setting warm keys " + settings.nested("domain").bool("warm-keys"));
     add("setting group of " + settings.integer("group-size"));
     List<WireJson> tenants = settings.objects("projects");
-    add("setting tenants " + (tenants.isEmpty() ? "none"
-        : tenants.get(0).has("quota-per-s") ? "with quotas" : "without quotas"));
+    add(
+        "setting tenants "
+            + (tenants.isEmpty()
+                ? "none"
+                : tenants.get(0).has("quota-per-s") ? "with quotas" : "without quotas"));
     WireJson limits = settings.nested("limits");
     if (limits.bool("second-copies") == limits.bool("cancel")) {
       add("setting hedges " + limits.bool("cancel"));
     }
     add("setting retry-after " + limits.bool("retry-after"));
     for (WireJson type : settings.objects("categories")) {
-      add("setting effect " + type.text("effect")
-          + (type.has("dedup-scope") ? " " + type.text("dedup-scope") : ""));
+      add(
+          "setting effect "
+              + type.text("effect")
+              + (type.has("dedup-scope") ? " " + type.text("dedup-scope") : ""));
     }
   }
 
@@ -128,8 +134,11 @@
       hints += hint;
       hinted++;
     }
-    WireJson type = settings.objects("categories").stream()
-        .filter(c -> c.text("name").equals(fields.text("service"))).findFirst().orElseThrow();
+    WireJson type =
+        settings.objects("categories").stream()
+            .filter(c -> c.text("name").equals(fields.text("service")))
+            .findFirst()
+            .orElseThrow();
     requests.put(fields.text("rid"), new Request(type, now, fields.integer("drop-dead-ns")));
   }
 
@@ -145,8 +154,9 @@
     add("outcome " + status);
     request.statuses.set((int) fields.integer("go"), status);
     Endpoint endpoint = endpoints.get(fields.integer("upstream"));
-    boolean hurried = status.equals("no_answer")
-        && fields.integer("wait-time-ns") < request.type.integer("aim-ns");
+    boolean hurried =
+        status.equals("no_answer")
+            && fields.integer("wait-time-ns") < request.type.integer("aim-ns");
     if (status.equals("served")) {
       endpoint.recovered();
     } else if (FAILURES.contains(status) && !hurried) {
@@ -162,8 +172,11 @@
       case "Decline" -> declined(requests.get(fields.text("rid")), fields);
       case "DropRequest" -> dropped(requests.get(fields.text("rid")));
       case "AbortAttempt" -> add("decision attempt aborted");
-      case "Observe" -> add(now == DecisionScenario.START
-          ? "decision subscribed to list" : "decision list called again");
+      case "Observe" ->
+          add(
+              now == DecisionScenario.START
+                  ? "decision subscribed to list"
+                  : "decision list called again");
       case "Fault" -> add("fault");
       default -> add("action " + name);
     }
@@ -178,7 +191,8 @@
     }
     if (request.mayHaveRun()) {
       addIf(request.type.text("effect").equals("at_most_once"), "at_most_once repeated");
-      addIf(request.type.text("effect").equals("deduplicated"),
+      addIf(
+          request.type.text("effect").equals("deduplicated"),
           "decision repeated in " + request.type.text("dedup-scope"));
     }
     request.statuses.add(null);
@@ -188,7 +202,8 @@
   private void sentTo(Endpoint endpoint) {
     addIf(!endpoint.state.equals("up") && endpoint.listedAt < now, "sent to departed endpoint");
     long warmWithin = settings.nested("contract").integer("warm-within-ns");
-    addIf(endpoint.launched > 0 && now - endpoint.launched < warmWithin,
+    addIf(
+        endpoint.launched > 0 && now - endpoint.launched < warmWithin,
         "decision sent to cold endpoint");
     if (endpoint.ejectedAt > 0) {
       addIf(now - endpoint.ejectedAt < SHORTEST_EJECTION, "decision panic");
@@ -204,7 +219,8 @@
       return;
     }
     endpoint.sentElsewhere++;
-    if (!endpoint.counted && endpoint.sentElsewhere >= 3
+    if (!endpoint.counted
+        && endpoint.sentElsewhere >= 3
         && now - endpoint.ejectedAt >= SHORTEST_EJECTION) {
       endpoint.counted = true;
       add("decision ejection");
@@ -212,8 +228,11 @@
   }
 
   private void declined(Request request, WireJson fields) {
-    add("decision declined "
-        + (fields.integer("not-before-for-ns") > 0 ? "with retry-after" : "without retry-after"));
+    add(
+        "decision declined "
+            + (fields.integer("not-before-for-ns") > 0
+                ? "with retry-after"
+                : "without retry-after"));
     if (request.statuses.isEmpty()) {
       add(now == request.arrivedAt ? "decision declined at once" : "decision held then declined");
     }
@@ -227,10 +246,12 @@
 
   /** An idempotent request that is given up although attempts and time are left. */
   private void endedWithoutBudget(Request request) {
-    addIf(request.type.text("effect").equals("idempotent") && !request.statuses.isEmpty()
-        && request.statuses.size() < settings.nested("limits").integer("max-attempts")
-        && now < request.deadline - 300 * DecisionScenario.MILLISECOND
-        && endpoints.values().stream().anyMatch(e -> e.state.equals("up")),
+    addIf(
+        request.type.text("effect").equals("idempotent")
+            && !request.statuses.isEmpty()
+            && request.statuses.size() < settings.nested("limits").integer("max-attempts")
+            && now < request.deadline - 300 * DecisionScenario.MILLISECOND
+            && endpoints.values().stream().anyMatch(e -> e.state.equals("up")),
         "decision retry budget spent");
   }
 
--- a/src/test/java/loadbalancer/simulator/ScenarioPlayer.java
+++ b/src/test/java/loadbalancer/simulator/ScenarioPlayer.java
@@ -1,8 +1,5 @@
 package loadbalancer.simulator;
 
-import loadbalancer.simulator.DecisionScenario.Incident;
-import loadbalancer.simulator.DecisionScenario.IncidentKind;
-import loadbalancer.simulator.DecisionScenario.Traffic;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -14,6 +11,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
+import loadbalancer.simulator.DecisionScenario.Incident;
+import loadbalancer.simulator.DecisionScenario.IncidentKind;
+import loadbalancer.simulator.DecisionScenario.Traffic;
 
 /**
  * Plays a scenario to one instance of the decision engine as a closed loop: the events depend on
@@ -94,16 +94,24 @@
     }
     messages.clear();
     unpublished.clear();
-    messages.add("{\"Provision\":{\"seed\":" + scenario.seed() + ",\"boot-info\":"
-        + scenario.settings() + "}}");
+    messages.add(
+        "{\"Provision\":{\"seed\":"
+            + scenario.seed()
+            + ",\"boot-info\":"
+            + scenario.settings()
+            + "}}");
     topology("C", endpoints.values());
     scheduleArrival();
     return batch();
   }
 
   private String batch() {
-    String batch = "{\"clock-ns\":" + now + ",\"groups\":[{\"balancer\":0,\"msgs\":["
-        + String.join(",", messages) + "]}]}";
+    String batch =
+        "{\"clock-ns\":"
+            + now
+            + ",\"groups\":[{\"balancer\":0,\"msgs\":["
+            + String.join(",", messages)
+            + "]}]}";
     batches++;
     events += messages.size();
     messages.clear();
@@ -125,13 +133,13 @@
     switch (action.messageName()) {
       case "Deliver" -> deliver(fields);
       case "AbortAttempt" -> abort(requests.get(fields.text("rid")), (int) fields.integer("go"));
-      case "Decline" -> declined(requests.get(fields.text("rid")),
-          fields.integer("not-before-for-ns"));
+      case "Decline" ->
+          declined(requests.get(fields.text("rid")), fields.integer("not-before-for-ns"));
       case "DropRequest" -> requests.get(fields.text("rid")).ended = true;
       case "SetTimer" -> {
         String handle = fields.text("handle");
-        schedule(fields.integer("fire-at-ns"),
-            () -> send("Fired", "\"handle\":\"" + handle + "\""));
+        schedule(
+            fields.integer("fire-at-ns"), () -> send("Fired", "\"handle\":\"" + handle + "\""));
       }
       case "Observe" -> schedule(now + LIST_CALL, this::answerListCall);
       default -> throw new AssertionError("unexpected action " + action.values());
@@ -140,8 +148,9 @@
 
   private void deliver(WireJson fields) {
     ClientRequest request = requests.get(fields.text("rid"));
-    Attempt attempt = new Attempt(request, request.attempts.size(),
-        endpointsById.get(fields.integer("upstream")), now);
+    Attempt attempt =
+        new Attempt(
+            request, request.attempts.size(), endpointsById.get(fields.integer("upstream")), now);
     request.attempts.add(attempt);
     attempt.endpoint.inFlight++;
     if (request.ended) {
@@ -176,8 +185,14 @@
       return;
     }
     double queue = Math.max(1, (double) endpoint.inFlight / traffic.workers());
-    long latency = (long) (traffic.serviceNanos() * (0.5 + random.nextDouble()) * queue * slowness
-        * coldness(endpoint) * attempt.request.work);
+    long latency =
+        (long)
+            (traffic.serviceNanos()
+                * (0.5 + random.nextDouble())
+                * queue
+                * slowness
+                * coldness(endpoint)
+                * attempt.request.work);
     if (attempt.request.stream && latency < limit) {
       schedule(now + latency / 2, () -> startStream(attempt));
     }
@@ -227,8 +242,15 @@
     attempt.endpoint.inFlight--;
     ClientRequest request = attempt.request;
     request.ended |= status.equals("served");
-    send("Resolved", attempt.fields() + ",\"rc\":\"" + status + "\",\"wait-time-ns\":"
-        + (now - attempt.sentAt) + ",\"done-flag\":" + request.ended);
+    send(
+        "Resolved",
+        attempt.fields()
+            + ",\"rc\":\""
+            + status
+            + "\",\"wait-time-ns\":"
+            + (now - attempt.sentAt)
+            + ",\"done-flag\":"
+            + request.ended);
   }
 
   // Clients
@@ -236,10 +258,12 @@
   private void scheduleArrival() {
     double gap = -StrictMath.log(1 - random.nextDouble()) / traffic.requestsPerSecond() / crowd;
     lastArrival += (long) (gap * DecisionScenario.SECOND);
-    schedule(lastArrival, () -> {
-      arrive(null);
-      scheduleArrival();
-    });
+    schedule(
+        lastArrival,
+        () -> {
+          arrive(null);
+          scheduleArrival();
+        });
   }
 
   /** A new request, or the client's own retry of one that was declined. */
@@ -248,12 +272,20 @@
     long wait = request.patience;
     request.deadline = now + wait;
     requests.put(request.id, request);
-    send("JobIn", "\"rid\":\"" + request.id + "\"," + request.fields + ",\"drop-dead-ns\":"
-        + request.deadline + (request.retry ? ",\"retry\":true" : ""));
+    send(
+        "JobIn",
+        "\"rid\":\""
+            + request.id
+            + "\","
+            + request.fields
+            + ",\"drop-dead-ns\":"
+            + request.deadline
+            + (request.retry ? ",\"retry\":true" : ""));
     if (random.nextDouble() < traffic.disconnectShare()) {
       schedule(now + (long) (random.nextDouble() * wait / 16), () -> disconnect(request));
     }
-    schedule(request.deadline + settings.nested("contract").integer("answer-slack-ns"),
+    schedule(
+        request.deadline + settings.nested("contract").integer("answer-slack-ns"),
         () -> disconnect(request));
   }
 
@@ -289,7 +321,8 @@
 
   private String key() {
     double skew = random.nextDouble();
-    return traffic.keys() == 0 ? ""
+    return traffic.keys() == 0
+        ? ""
         : ",\"object\":\"k" + (int) (traffic.keys() * skew * skew * skew) + "\"";
   }
 
@@ -314,7 +347,8 @@
 
   private List<Endpoint> affected(Incident incident) {
     return incident.endpoint() == Incident.ALL
-        ? List.copyOf(endpoints.values()) : List.of(endpoint(incident.endpoint()));
+        ? List.copyOf(endpoints.values())
+        : List.of(endpoint(incident.endpoint()));
   }
 
   private void change(Endpoint endpoint, IncidentKind kind) {
@@ -334,11 +368,13 @@
   // The list
 
   private Endpoint endpoint(int number) {
-    return endpoints.computeIfAbsent(number, n -> {
-      Endpoint endpoint = new Endpoint(n, traffic.zones());
-      endpointsById.put(endpoint.id, endpoint);
-      return endpoint;
-    });
+    return endpoints.computeIfAbsent(
+        number,
+        n -> {
+          Endpoint endpoint = new Endpoint(n, traffic.zones());
+          endpointsById.put(endpoint.id, endpoint);
+          return endpoint;
+        });
   }
 
   private void list(Endpoint endpoint, String state) {
@@ -387,20 +423,37 @@
         lines.add(entry(endpoint));
       }
     }
-    send("Topology", "\"kind\":\"" + kind + "\",\"stamp\":" + listVersion++ + ",\"entries\":["
-        + String.join(",", lines) + "]");
+    send(
+        "Topology",
+        "\"kind\":\""
+            + kind
+            + "\",\"stamp\":"
+            + listVersion++
+            + ",\"entries\":["
+            + String.join(",", lines)
+            + "]");
   }
 
   private String entry(Endpoint endpoint) {
-    String weight = switch (settings.text("weight-kind")) {
-      case "none" -> "1";
-      case "live" -> String.valueOf(endpoint.weight / (1 + endpoint.inFlight));
-      default -> String.valueOf(endpoint.weight);
-    };
-    return "{\"upstream\":" + endpoint.id + ",\"region-part\":\"" + endpoint.zone + "\",\"pack\":"
-        + endpoint.cell + ",\"stage-state\":\"" + endpoint.state + "\""
+    String weight =
+        switch (settings.text("weight-kind")) {
+          case "none" -> "1";
+          case "live" -> String.valueOf(endpoint.weight / (1 + endpoint.inFlight));
+          default -> String.valueOf(endpoint.weight);
+        };
+    return "{\"upstream\":"
+        + endpoint.id
+        + ",\"region-part\":\""
+        + endpoint.zone
+        + "\",\"pack\":"
+        + endpoint.cell
+        + ",\"stage-state\":\""
+        + endpoint.state
+        + "\""
         + (endpoint.launched > 0 ? ",\"launched-ns\":" + endpoint.launched : "")
-        + ",\"capacity-hint\":" + weight + "}";
+        + ",\"capacity-hint\":"
+        + weight
+        + "}";
   }
 
   /** Something that will happen. */
--- a/src/test/java/loadbalancer/simulator/ScenarioSettings.java
+++ b/src/test/java/loadbalancer/simulator/ScenarioSettings.java
@@ -31,18 +31,36 @@
   private ScenarioSettings type(
       String name, String effect, int aimMillis, int deadlineMillis, int gain, boolean stream) {
     String[] words = effect.split(" ", 0);
-    classes.add("{\"name\":\"" + name + "\",\"effect\":\"" + words[0] + "\""
-        + (words.length == 1 ? "" : ",\"dedup-scope\":\"" + words[1] + "\",\"window-ns\":"
-            + words[2] + "000000")
-        + ",\"aim-ns\":" + aimMillis + "000000,\"deadline-ns\":" + deadlineMillis
-        + "000000,\"gain\":" + gain + ",\"stream\":" + stream + "}");
+    classes.add(
+        "{\"name\":\""
+            + name
+            + "\",\"effect\":\""
+            + words[0]
+            + "\""
+            + (words.length == 1
+                ? ""
+                : ",\"dedup-scope\":\"" + words[1] + "\",\"window-ns\":" + words[2] + "000000")
+            + ",\"aim-ns\":"
+            + aimMillis
+            + "000000,\"deadline-ns\":"
+            + deadlineMillis
+            + "000000,\"gain\":"
+            + gain
+            + ",\"stream\":"
+            + stream
+            + "}");
     return this;
   }
 
   /** A tenant; the quota is 0 where none is stated. */
   ScenarioSettings tenant(String name, double portion, int quotaPerSecond) {
-    tenants.add("{\"name\":\"" + name + "\",\"portion\":" + portion
-        + (quotaPerSecond > 0 ? ",\"quota-per-s\":" + quotaPerSecond : "") + "}");
+    tenants.add(
+        "{\"name\":\""
+            + name
+            + "\",\"portion\":"
+            + portion
+            + (quotaPerSecond > 0 ? ",\"quota-per-s\":" + quotaPerSecond : "")
+            + "}");
     return this;
   }
 
@@ -83,21 +101,39 @@
   }
 
   private static String contract(double coldFrom, int warmWithinMillis, int fallMultiple) {
-    return String.format(Locale.ROOT,
+    return String.format(
+        Locale.ROOT,
         "{\"answer-slack-ns\":50000000,\"ask-within-ns\":10000000000,\"drain-grace-ns\":500000000,"
             + "\"cold-from\":%s,\"warm-within-ns\":%d000000,\"fall-multiple\":%d,"
             + "\"overload-for-ns\":2000000000}",
-        coldFrom, warmWithinMillis, fallMultiple);
+        coldFrom,
+        warmWithinMillis,
+        fallMultiple);
   }
 
   String json() {
-    return "{\"categories\":[" + String.join(",", classes) + "],\"contract\":" + contract
-        + ",\"domain\":{\"warm-keys\":" + warmKeys + "},\"group-size\":" + groupSize
-        + ",\"limits\":{\"cancel\":" + cancel + ",\"max-attempts\":4,\"most-held\":300,"
-        + "\"retry-after\":" + retryAfter + ",\"max-retry-after-ns\":2500000000,"
-        + "\"second-copies\":" + secondCopies + "},\"me\":0,\"over-share-worth\":0.05"
+    return "{\"categories\":["
+        + String.join(",", classes)
+        + "],\"contract\":"
+        + contract
+        + ",\"domain\":{\"warm-keys\":"
+        + warmKeys
+        + "},\"group-size\":"
+        + groupSize
+        + ",\"limits\":{\"cancel\":"
+        + cancel
+        + ",\"max-attempts\":4,\"most-held\":300,"
+        + "\"retry-after\":"
+        + retryAfter
+        + ",\"max-retry-after-ns\":2500000000,"
+        + "\"second-copies\":"
+        + secondCopies
+        + "},\"me\":0,\"over-share-worth\":0.05"
         + (tenants.isEmpty() ? "" : ",\"projects\":[" + String.join(",", tenants) + "]")
-        + ",\"registry-mode\":\"" + listMode + "\",\"resolution-ns\":30000000,\"weight-kind\":\""
-        + weightKind + "\",\"zone\":\"a\"}";
+        + ",\"registry-mode\":\""
+        + listMode
+        + "\",\"resolution-ns\":30000000,\"weight-kind\":\""
+        + weightKind
+        + "\",\"zone\":\"a\"}";
   }
 }
