Test responses reset on the way, idle connections reset, and TCP_NODELAY

ProxyServer makes its two bootstraps in methods of their own, so that their options can be checked; behaviour is unchanged. The new tests pass without any other change: the code had these right.

--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -103,11 +103,7 @@
   /** Runs on the event loop. */
   private void wire(LongFunction<DecisionEngine> engines) {
     ProxyComponents.Builder builder = new ProxyComponents.Builder(loop, config.settings(), engines);
-    Bootstrap upstreams =
-        new Bootstrap()
-            .group(group)
-            .channelFactory(UpstreamChannel::new)
-            .option(ChannelOption.TCP_NODELAY, true);
+    Bootstrap upstreams = upstreamBootstrap(group);
     gossip =
         new GossipChannel(config.settings().instanceIndex(), config.peers(), config.peersAll());
     boolean pushed = !config.settings().polledDiscovery();
@@ -126,21 +122,39 @@
     discovery.start(components.dispatcher());
   }
 
+  /**
+   * Makes what accepts clients. Without TCP_NODELAY the kernel could hold back a small response and
+   * discard it if the connection is reset.
+   */
+  static ServerBootstrap clientBootstrap(EventLoopGroup group) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+  }
+
+  /** Makes what connects to upstreams and to discovery. */
+  static Bootstrap upstreamBootstrap(EventLoopGroup group) {
+    return new Bootstrap()
+        .group(group)
+        .channelFactory(UpstreamChannel::new)
+        .option(ChannelOption.TCP_NODELAY, true);
+  }
+
   /** Opens the proxy to clients and to other instances. */
   public void listen() {
     try {
       if (config.peerListen() != null && config.settings().limits().gossip()) {
         gossip.listen(group, config.peerListen(), components.dispatcher()).syncUninterruptibly();
       }
-      ServerBootstrap bootstrap =
-          new ServerBootstrap()
-              .group(group)
-              .channel(NioServerSocketChannel.class)
-              .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-              .option(ChannelOption.SO_REUSEADDR, true)
-              .childOption(ChannelOption.TCP_NODELAY, true)
-              .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-      serverChannel = listener().listen(bootstrap, config.listen()).syncUninterruptibly().channel();
+      serverChannel =
+          listener()
+              .listen(clientBootstrap(group), config.listen())
+              .syncUninterruptibly()
+              .channel();
       loop.submit(listener()::markReady).syncUninterruptibly();
     } catch (RuntimeException e) {
       shutDownNow();
--- /dev/null
+++ b/src/test/java/loadbalancer/proxy/BrokenConnectionTest.java
@@ -0,0 +1,147 @@
+package loadbalancer.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Connections that break within a response or long after one, and what is lost with them. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class BrokenConnectionTest {
+
+  private static final String NOWHERE = "127.0.0.1:1";
+  private static final long LONG = TimeUnit.SECONDS.toNanos(30);
+
+  private static BalancerConfig one(FakeServer upstream) throws IOException {
+    return ProxyFixture.config(
+        NOWHERE,
+        ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")));
+  }
+
+  /**
+   * A reset is no end, also of a response without a length: no part of it reaches the client as a
+   * complete response.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK~~part",
+        "HTTP/1.1 200 OK~Connection: close~~part",
+        "HTTP/1.1 200 OK~~",
+        "HTTP/1.1 200 OK~Content-Length: 20~~part",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~4~part~"
+      })
+  void doesNotForwardAResponseThatIsResetOnTheWay(String begun) throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(LONG);
+    CountDownLatch read = new CountDownLatch(1);
+    CountDownLatch written = new CountDownLatch(1);
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  c.next();
+                  c.write(begun.replace("~", "\r\n"));
+                  written.countDown();
+                  read.await();
+                  c.reset();
+                });
+        ProxyFixture proxy = new ProxyFixture(one(upstream), engine);
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      written.await();
+      for (int i = 0; i < 2; i++) {
+        try (Client other = proxy.client()) {
+          other.ask(
+              "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); // It has looked at all sockets, and read
+          // what was written.
+        }
+      }
+      read.countDown();
+      String answer = client.answer();
+      assertTrue(answer.startsWith("HTTP/1.1 502 ") && !answer.contains("part"), answer);
+      assertEquals(AttemptStatus.RESET, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  /**
+   * A connection is reset long after its response: the next request goes out on a new one, once.
+   */
+  @Test
+  void replacesAConnectionThatWasResetWhileIdle() throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(LONG);
+    CountDownLatch cue = new CountDownLatch(1);
+    AtomicInteger connections = new AtomicInteger();
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  boolean first = connections.incrementAndGet() == 1;
+                  for (String request = c.next(); request != null; request = c.next()) {
+                    c.write(FakeServer.ok("x"));
+                    if (first) {
+                      cue.await();
+                      c.reset();
+                      return;
+                    }
+                  }
+                });
+        ProxyFixture proxy = new ProxyFixture(one(upstream), engine);
+        Client client = proxy.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t1", "")).startsWith("HTTP/1.1 200 "));
+      Thread.sleep(50); // It has rested for long enough to be used again.
+      FakeServer.Connection resting = upstream.connections.take();
+      cue.countDown();
+      assertTrue(resting.awaitEnd());
+      assertTrue(client.ask(ProxyFixture.get("t2", "")).startsWith("HTTP/1.1 200 "));
+      for (int i = 0; i < 2; i++) {
+        assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+      }
+      assertEquals(2, upstream.requests.size(), "each once");
+    }
+  }
+
+  /**
+   * The kernel holds nothing back, on either side, that would be discarded with a connection that
+   * is reset.
+   */
+  @Test
+  void sendsSmallWritesWithoutDelay() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      ServerBootstrap clients = ProxyServer.clientBootstrap(group);
+      assertEquals(
+          true, clients.config().childOptions().get(ChannelOption.TCP_NODELAY), "to clients");
+      Bootstrap upstreams =
+          ProxyServer.upstreamBootstrap(group).handler(new ChannelInboundHandlerAdapter());
+      Channel channel = upstreams.connect(listener.getLocalSocketAddress()).sync().channel();
+      assertEquals(
+          true,
+          channel.config().getOption(ChannelOption.TCP_NODELAY),
+          "to upstreams and discovery");
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+}
