Announce the time that is left when an attempt is written, not when it is decided

AttemptRunner made the forwarded request before the pool looked for a connection. Nothing asked either whether any time was left by then. The pool now gets a supplier and makes the request right before it writes it, with the time left then; an attempt whose time is over is not written.

RemainingTimeTest forces a connection that is established late: without the change its three cases fail (first attempt, further attempt, time over), with it they pass.

--- a/src/main/java/loadbalancer/proxy/AttemptRunner.java
+++ b/src/main/java/loadbalancer/proxy/AttemptRunner.java
@@ -57,17 +57,18 @@
     long now = clock.nowNanos();
     long endpointId = action.endpointId();
     ProxiedAttempt attempt = new ProxiedAttempt(request.attempts().size(), now);
+    long left = request.deadlineNanos() - now;
+    long timeout = action.timeoutNanos() == 0 ? left : Math.min(left, action.timeoutNanos());
+    long endsAt = now + timeout;
     // Computed before this attempt is added: the window of the attempts before it counts.
-    long repeatDeadline = request.repeatDeadlineNanos();
+    long writeBy = Math.min(endsAt, request.repeatDeadlineNanos());
     UpstreamCall call =
         new UpstreamCall(
             endpointId,
-            () -> isWanted(request, endpointId, repeatDeadline),
+            () -> isWanted(request, endpointId, writeBy),
             (status, response) -> ended(request, attempt, status, response));
     attempt.bind(call);
     request.addAttempt(attempt);
-    long left = request.deadlineNanos() - now;
-    long timeout = action.timeoutNanos() == 0 ? left : Math.min(left, action.timeoutNanos());
     SocketAddress address = directory.address(endpointId);
     if (timeout <= 0 || attempt.index() >= maxAttempts) {
       call.complete(AttemptStatus.NOT_SENT, null);
@@ -77,7 +78,9 @@
       pool.start(
           call,
           address,
-          UpstreamRequestFactory.forward(request.downstream().message(), timeout),
+          () ->
+              UpstreamRequestFactory.forward(
+                  request.downstream().message(), endsAt - clock.nowNanos()),
           timeout);
     }
   }
@@ -100,12 +103,10 @@
   /**
    * Whether an attempt may still be written. Since it was decided a connection may have taken long
    * to come up, and events may have happened that the engine is told of next: the endpoint drains,
-   * the request is completed or its dedup window over, or the client has disconnected.
+   * the request is completed, its time or its dedup window over, or the client has disconnected.
    */
-  private boolean isWanted(ProxiedRequest request, long endpointId, long repeatDeadline) {
-    return request.isAwaited()
-        && directory.isReady(endpointId)
-        && clock.nowNanos() < repeatDeadline;
+  private boolean isWanted(ProxiedRequest request, long endpointId, long writeBy) {
+    return request.isAwaited() && directory.isReady(endpointId) && clock.nowNanos() < writeBy;
   }
 
   private void ended(
--- a/src/main/java/loadbalancer/proxy/HealthChecker.java
+++ b/src/main/java/loadbalancer/proxy/HealthChecker.java
@@ -52,7 +52,7 @@
     if (address == null) {
       call.complete(AttemptStatus.CONNECT_FAILED, null);
     } else {
-      pool.start(call, address, UpstreamRequestFactory.healthCheck(), TIMEOUT_NANOS);
+      pool.start(call, address, UpstreamRequestFactory::healthCheck, TIMEOUT_NANOS);
     }
   }
 
--- a/src/main/java/loadbalancer/upstream/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongPredicate;
+import java.util.function.Supplier;
 import loadbalancer.decision.api.AttemptStatus;
 import loadbalancer.net.DescriptorBudget;
 
@@ -65,33 +66,40 @@
   }
 
   /**
-   * Starts a call. Takes over the request and releases it.
+   * Starts a call.
    *
+   * @param request makes the request right before it is written, and not at all if it is not: a
+   *     connection may be established late, and what the request says of the time left must hold
+   *     then
    * @param timeoutNanos the time in which the call has to complete, connecting included
    */
   public void start(
-      UpstreamCall call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
+      UpstreamCall call,
+      SocketAddress address,
+      Supplier<FullHttpRequest> request,
+      long timeoutNanos) {
     if (!call.isWanted()) {
-      discard(call, request, AttemptStatus.NOT_SENT);
+      call.complete(AttemptStatus.NOT_SENT, null);
       return;
     }
     call.startTimeout(loop, timeoutNanos);
     UpstreamConnection reused = idleConnections.acquire(call.endpointId(), address);
     if (reused != null) {
-      reused.send(call, request);
+      reused.send(call, request.get());
     } else if (descriptors.hasRoom() || closeLongestIdle()) {
       connect(call, address, request);
     } else {
-      discard(call, request, AttemptStatus.CONNECT_FAILED);
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
     }
   }
 
-  private void connect(UpstreamCall call, SocketAddress address, FullHttpRequest request) {
+  private void connect(
+      UpstreamCall call, SocketAddress address, Supplier<FullHttpRequest> request) {
     ChannelFuture connect = bootstrap.connect(address);
     if (connect.isDone() && !connect.isSuccess()) {
       // No socket could be created. Listeners to such a failure run on a thread other than the
       // loop's.
-      discard(call, request, AttemptStatus.CONNECT_FAILED);
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
       return;
     }
     Channel channel = connect.channel();
@@ -102,25 +110,20 @@
   }
 
   private void connectFinished(
-      UpstreamCall call, FullHttpRequest request, Channel channel, boolean connected) {
+      UpstreamCall call, Supplier<FullHttpRequest> request, Channel channel, boolean connected) {
     connecting.remove(call);
     if (call.isDone() || !connected) {
       // A call that was withdrawn or timed out while connecting is done and must not be written.
-      discard(call, request, AttemptStatus.CONNECT_FAILED);
+      call.complete(AttemptStatus.CONNECT_FAILED, null);
       channel.close();
     } else if (!call.isWanted()) {
-      discard(call, request, AttemptStatus.NOT_SENT);
+      call.complete(AttemptStatus.NOT_SENT, null);
       channel.close();
     } else {
-      channel.pipeline().get(UpstreamConnection.class).send(call, request);
+      channel.pipeline().get(UpstreamConnection.class).send(call, request.get());
     }
   }
 
-  private static void discard(UpstreamCall call, FullHttpRequest request, AttemptStatus status) {
-    request.release();
-    call.complete(status, null);
-  }
-
   /** Cancels a call unless it has completed, and closes its connection. */
   public void cancel(UpstreamCall call) {
     call.cancel();
--- /dev/null
+++ b/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
@@ -0,0 +1,157 @@
+package loadbalancer.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.Action.FailRequest;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.Action.StartAttempt;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.testing.DiscoveryMessages;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.UnresponsiveUpstream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * The timeout that an attempt announces to its upstream: never more than its client still waits
+ * when it is written.
+ */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class RemainingTimeTest {
+
+  private static final String NOWHERE = "127.0.0.1:1";
+  private static final long LONG = TimeUnit.SECONDS.toNanos(30);
+  private static final Pattern TOLD =
+      Pattern.compile("X-Expires-In-Ms: (\\d+)\r\n", Pattern.CASE_INSENSITIVE);
+
+  private static long told(String request) {
+    Matcher told = TOLD.matcher(request);
+    assertTrue(told.find(), request);
+    return Long.parseLong(told.group(1));
+  }
+
+  private static long millisSince(long from) {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+  }
+
+  private static BalancerConfig two(String first, String second) throws IOException {
+    return ProxyFixture.config(
+        NOWHERE,
+        ProxyFixture.list(
+            1,
+            true,
+            ProxyFixture.member("s-1", first, "ready"),
+            ProxyFixture.member("s-2", second, "ready")),
+        "on_request",
+        1000 * ProxyFixture.TIMEOUT_SECONDS,
+        1024,
+        "");
+  }
+
+  /**
+   * The first attempt, or a further one, waits for its connection; announced was the time that was
+   * left when the attempt was decided.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void announcesTheTimeLeftWhenAConnectionIsEstablishedLate(boolean further) throws Exception {
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, out) -> {
+              if (event instanceof RequestArrived r) {
+                out.accept(
+                    new StartAttempt(
+                        r.requestId(), DiscoveryMessages.number(further ? "s-1" : "s-2"), 0));
+              } else if (event instanceof AttemptEnded o && further && o.attempt() == 0) {
+                out.accept(new StartAttempt(o.requestId(), DiscoveryMessages.number("s-2"), 0));
+              } else if (event instanceof AttemptEnded o && !o.finished()) {
+                out.accept(new FailRequest(o.requestId()));
+              }
+            });
+    try (FakeServer full =
+            FakeServer.answering(
+                "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        UnresponsiveUpstream late = new UnresponsiveUpstream();
+        ProxyFixture proxy = new ProxyFixture(two(full.address(), late.address()), engine);
+        Client client = proxy.client()) {
+      long from = System.nanoTime();
+      client.write(ProxyFixture.get("t", "X-Expires-In-Ms: 30000\r\n"));
+      engine.next(RequestArrived.class);
+      if (further) {
+        assertEquals(AttemptStatus.REJECTED, engine.next(AttemptEnded.class).status());
+      }
+      Thread.sleep(
+          400); // The lateness itself is what is tested: there is no room for the connection before
+      // this is over.
+      long passed = millisSince(from);
+      try (Socket connection = late.accept()) {
+        long told = told(FakeServer.Message.read(connection.getInputStream()));
+        assertTrue(
+            told <= 30_000 - passed,
+            "told " + told + " ms of 30000 when " + passed + " had passed");
+        assertTrue(told > 0, "told " + told);
+        connection.getOutputStream().write(FakeServer.ok("x").getBytes());
+        assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      }
+    }
+  }
+
+  /**
+   * The event loop is held up until the time of a request is over; its connection is established
+   * meanwhile, and is seen before the timer.
+   */
+  @Test
+  void doesNotWriteAnAttemptWhoseTimeIsOverWhenItsConnectionIsEstablished() throws Exception {
+    long waitMillis = 2500;
+    AtomicReference<UnresponsiveUpstream> upstream = new AtomicReference<>();
+    CompletableFuture<Socket> accepted = new CompletableFuture<>();
+    ScriptedEngine engine =
+        new ScriptedEngine(
+            (event, out) -> {
+              if (event instanceof RequestArrived r && r.workHintNanos() > 0) {
+                long from = System.nanoTime();
+                try {
+                  accepted.complete(upstream.get().accept());
+                  Thread.sleep(Math.max(0, waitMillis + 100 - millisSince(from)));
+                } catch (IOException | InterruptedException e) {
+                  accepted.completeExceptionally(e);
+                }
+                out.accept(new RejectRequest(r.requestId(), 0));
+              } else if (event instanceof RequestArrived r) {
+                out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-2"), 0));
+              } else if (event instanceof AttemptEnded o && !o.finished()) {
+                out.accept(new FailRequest(o.requestId()));
+              }
+            });
+    try (UnresponsiveUpstream late = new UnresponsiveUpstream();
+        ProxyFixture proxy = new ProxyFixture(two(NOWHERE, late.address()), engine);
+        Client client = proxy.client();
+        Client other = proxy.client()) {
+      upstream.set(late);
+      client.write(ProxyFixture.get("t", "X-Expires-In-Ms: " + waitMillis + "\r\n"));
+      engine.next(RequestArrived.class);
+      other.write(ProxyFixture.get("holds", "X-Size-Hint: 7\r\n"));
+      try (Socket connection = accepted.get(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS)) {
+        assertEquals(-1, connection.getInputStream().read(), "nothing was written");
+      }
+      assertTrue(engine.next(AttemptEnded.class).status().provesNotRun());
+      assertTrue(client.answer().startsWith("HTTP/1.1 50"), "too late");
+    }
+  }
+}
