Run the timeout of a pipelined request from its arrival on

RequestParser reckoned a request's deadline from when its turn came. PipelinedRequests now keeps the arrival time with each request.

RemainingTimeTest.countsTheTimeThatPipelinedRequestsWaitForTheirTurn fails without the change and passes with it.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -102,9 +102,10 @@
       return;
     }
     discardInput = !request.decoderResult().isSuccess();
+    long arrivedAtNanos = router.arrivalNanos();
     if (!responsePending) {
-      serve(request);
-    } else if (!pipelined.offer(request)) {
+      serve(request, arrivedAtNanos);
+    } else if (!pipelined.offer(request, arrivedAtNanos)) {
       // Input is still read, to notice a disconnect, but not decoded.
       discardInput = true;
     }
@@ -197,13 +198,13 @@
 
   // ---- Requests --------------------------------------------------------------------------------
 
-  private void serve(FullHttpRequest request) {
+  private void serve(FullHttpRequest request, long arrivedAtNanos) {
     responsePending = true;
     partialRequest = false;
     currentBodyBytes = request.content().readableBytes();
     connections.setState(this, State.SERVING);
     keepAlive = HttpUtil.isKeepAlive(request);
-    RoutingResult result = router.route(request, this, halfClosed);
+    RoutingResult result = router.route(request, arrivedAtNanos, this, halfClosed);
     if (result instanceof DownstreamRequest accepted) {
       accepted.message().retain();
       currentRequest = accepted;
@@ -265,10 +266,10 @@
   private void serveNext() {
     responsePending = false;
     aggregator.release(currentBodyBytes);
-    FullHttpRequest next = pipelined.poll();
+    PipelinedRequests.Waiting next = pipelined.poll();
     if (next != null) {
-      serve(next);
-      next.release();
+      serve(next.request(), next.arrivedAtNanos());
+      next.request().release();
     } else if (halfClosed) {
       // It ended its sending while this response was being written: nothing can follow.
       close();
--- a/src/main/java/loadbalancer/downstream/DownstreamRequest.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamRequest.java
@@ -12,7 +12,8 @@
  * @param workHintNanos the work it is expected to cost; 0 for unknown
  * @param retry whether the client says that it repeats an earlier request
  * @param deadlineNanos clock reading at which the client gives up, less the way back to it
- * @param unreadNanos how long it may have lain unread because the event loop lagged
+ * @param unreadNanos how long it may have lain unread because the event loop lagged, or has waited
+ *     for its turn among pipelined requests
  * @param message the request as received; whoever accepts the request releases it
  * @param response where the final response goes
  */
--- a/src/main/java/loadbalancer/downstream/PipelinedRequests.java
+++ b/src/main/java/loadbalancer/downstream/PipelinedRequests.java
@@ -11,7 +11,10 @@
   /** Bounds the memory that waiting requests take. */
   private static final int MAX_REQUESTS = 32;
 
-  private final ArrayDeque<FullHttpRequest> queue = new ArrayDeque<>(1);
+  /** A request that waits; its client's timeout runs from its arrival on. */
+  record Waiting(FullHttpRequest request, long arrivedAtNanos) {}
+
+  private final ArrayDeque<Waiting> queue = new ArrayDeque<>(1);
 
   boolean isEmpty() {
     return queue.isEmpty();
@@ -21,25 +24,25 @@
    * Queues a request and retains it; false if too many wait already. The last of these then counts
    * as one whose decoding failed, and its error ends the connection in its turn.
    */
-  boolean offer(FullHttpRequest request) {
+  boolean offer(FullHttpRequest request, long arrivedAtNanos) {
     if (queue.size() < MAX_REQUESTS) {
-      queue.add(request.retain());
+      queue.add(new Waiting(request.retain(), arrivedAtNanos));
       return true;
     }
     DecoderResult failure =
         DecoderResult.failure(new TooLongFrameException("too many pipelined requests"));
-    queue.peekLast().setDecoderResult(failure);
+    queue.peekLast().request().setDecoderResult(failure);
     return false;
   }
 
   /** The next request, which is the caller's to release; null for none. */
-  FullHttpRequest poll() {
+  Waiting poll() {
     return queue.poll();
   }
 
   void releaseAll() {
-    for (FullHttpRequest request : queue) {
-      request.release();
+    for (Waiting waiting : queue) {
+      waiting.request().release();
     }
     queue.clear();
   }
--- a/src/main/java/loadbalancer/downstream/RequestParser.java
+++ b/src/main/java/loadbalancer/downstream/RequestParser.java
@@ -53,12 +53,18 @@
     }
   }
 
+  /** Clock reading at which a request that is read now arrived at the latest. */
+  long arrivalNanos() {
+    return clock.nowNanos() - lagMonitor.lagNanos();
+  }
+
   /**
    * Parses a decoded request without retaining it, or says what is wrong with it.
    *
+   * @param arrivedAtNanos its {@link #arrivalNanos}, from which its timeout runs
    * @param response where its response goes
    */
-  RoutingResult parse(FullHttpRequest request, ResponseSink response) {
+  RoutingResult parse(FullHttpRequest request, long arrivedAtNanos, ResponseSink response) {
     HttpHeaders headers = request.headers();
     String traceId = headers.get(HttpProtocol.TRACE_ID_HEADER, "");
     if (traceId.isEmpty() || traceId.length() > MAX_NAME_LENGTH) {
@@ -80,7 +86,7 @@
     if (lacksIdempotencyKey(requestClass, headers)) {
       return badRequest(HttpProtocol.IDEMPOTENCY_KEY_HEADER + " is missing");
     }
-    return build(request, response, traceId, requestClass, tenant, timeoutMillis);
+    return build(request, arrivedAtNanos, response, traceId, requestClass, tenant, timeoutMillis);
   }
 
   /** Null for a valid tenant, or none. */
@@ -105,6 +111,7 @@
 
   private DownstreamRequest build(
       FullHttpRequest request,
+      long arrivedAtNanos,
       ResponseSink response,
       String traceId,
       RequestClass requestClass,
@@ -114,8 +121,6 @@
     // The class's deadline bounds how long the request stays in memory, whatever its timeout.
     long timeoutNanos =
         Math.min(requestClass.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(timeoutMillis));
-    long unreadNanos = lagMonitor.lagNanos();
-    long sentAtNanos = clock.nowNanos() - unreadNanos;
     return new DownstreamRequest(
         traceId,
         requestClass,
@@ -123,8 +128,8 @@
         affinityKey(headers),
         workHintNanos(headers),
         "1".equals(headers.get(HttpProtocol.RETRY_HEADER)),
-        sentAtNanos + timeoutNanos - NETWORK_ALLOWANCE_NANOS,
-        unreadNanos,
+        arrivedAtNanos + timeoutNanos - NETWORK_ALLOWANCE_NANOS,
+        clock.nowNanos() - arrivedAtNanos,
         request,
         response);
   }
--- a/src/main/java/loadbalancer/downstream/RequestRouter.java
+++ b/src/main/java/loadbalancer/downstream/RequestRouter.java
@@ -18,13 +18,23 @@
     this.listenerState = listenerState;
   }
 
+  /** Clock reading at which a request that is read now arrived at the latest. */
+  long arrivalNanos() {
+    return parser.arrivalNanos();
+  }
+
   /**
    * Routes a request in its turn, without retaining it.
    *
+   * @param arrivedAtNanos its {@link #arrivalNanos}: pipelined ones have waited for their turn
    * @param response where the handler is to respond to it
    * @param clientHalfClosed whether its client has ended its sending
    */
-  RoutingResult route(FullHttpRequest request, ResponseSink response, boolean clientHalfClosed) {
+  RoutingResult route(
+      FullHttpRequest request,
+      long arrivedAtNanos,
+      ResponseSink response,
+      boolean clientHalfClosed) {
     if (!request.decoderResult().isSuccess()) {
       return LocalReply.undecodable(request.decoderResult().cause());
     }
@@ -38,7 +48,7 @@
     if (!method.equals(HttpMethod.GET) && !method.equals(HttpMethod.POST)) {
       return new LocalReply(HttpResponseStatus.METHOD_NOT_ALLOWED, "GET and POST only");
     }
-    RoutingResult parsed = parser.parse(request, response);
+    RoutingResult parsed = parser.parse(request, arrivedAtNanos, response);
     if (parsed instanceof DownstreamRequest accepted) {
       return admit(accepted, clientHalfClosed);
     }
--- a/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
+++ b/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
@@ -1,11 +1,14 @@
 package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.regex.Matcher;
@@ -154,4 +157,46 @@
       assertTrue(client.answer().startsWith("HTTP/1.1 50"), "too late");
     }
   }
+
+  /**
+   * Pipelined requests arrive with the first one; each had its whole timeout anew when its turn
+   * came.
+   */
+  @Test
+  void countsTheTimeThatPipelinedRequestsWaitForTheirTurn() throws Exception {
+    CountDownLatch cue = new CountDownLatch(1);
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  while (c.next() != null) {
+                    cue.await();
+                    c.write(FakeServer.ok("x"));
+                  }
+                });
+        ProxyFixture proxy =
+            new ProxyFixture(two(upstream.address(), NOWHERE), new ScriptedEngine(LONG));
+        Client client = proxy.client()) {
+      client.write(
+          ProxyFixture.get("first", "")
+              + ProxyFixture.get("brief", "X-Expires-In-Ms: 300\r\n")
+              + ProxyFixture.get("patient", "X-Expires-In-Ms: 30000\r\n"));
+      assertNotNull(upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+      long from = System.nanoTime(); // All three have come by now: they are one small write.
+      Thread.sleep(400); // The time itself is what is tested.
+      long passed = millisSince(from);
+      cue.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      String brief = client.answer();
+      assertTrue(brief.startsWith("HTTP/1.1 50") || brief.startsWith("HTTP/1.1 429 "), brief);
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      String patient = upstream.requests.take();
+      assertTrue(
+          patient.contains("X-Trace-Id: patient\r\n"),
+          "its time was over, and it was sent on: " + patient);
+      assertTrue(
+          told(patient) <= 30_000 - passed,
+          "told " + told(patient) + " ms of 30000 when " + passed + " had passed");
+      assertNull(upstream.requests.poll());
+    }
+  }
 }
