Accept a response that starts in the segment of an informational one

ResponseStartCheck forgot that a response had started once an informational one was decoded, though the same segment may hold the start of the final response. Its next segment then did not begin like a response, and the attempt counted as reset although it had been served: a request that may not be repeated failed. If nothing more came, the limit of 300 ms did not run, and the client waited until its timeout. ResponseDecoder now tells whether it holds a part of a response.

FragmentedMessageTest: 9 of its 16 cases fail without the change (RESET in place of SUCCESS, TIMEOUT after 30 s in place of RESET), all pass with it.

--- a/src/main/java/loadbalancer/upstream/ResponseDecoder.java
+++ b/src/main/java/loadbalancer/upstream/ResponseDecoder.java
@@ -1,5 +1,6 @@
 package loadbalancer.upstream;
 
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 
@@ -9,6 +10,25 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+  /** The first line of a response has been decoded, and its end has not been reported. */
+  private boolean responseStarted;
+
+  /** Returns whether a part of a response has come in that has not been passed on whole. */
+  boolean hasPartialResponse() {
+    return responseStarted || actualReadableBytes() > 0;
+  }
+
+  /** The response that had started has been passed on whole. */
+  void responseEnded() {
+    responseStarted = false;
+  }
+
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) {
+    responseStarted = true;
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     if (line[start + length] != ':') {
--- a/src/main/java/loadbalancer/upstream/ResponseStartCheck.java
+++ b/src/main/java/loadbalancer/upstream/ResponseStartCheck.java
@@ -25,14 +25,16 @@
   private static final long COMPLETION_TIMEOUT_MILLIS = 300;
 
   private final UpstreamConnection connection;
+  private final ResponseDecoder decoder;
 
   /** How many bytes of the current response have been compared with its expected start. */
   private int matchedBytes;
 
   private Future<?> completionTimeout;
 
-  ResponseStartCheck(UpstreamConnection connection) {
+  ResponseStartCheck(UpstreamConnection connection, ResponseDecoder decoder) {
     this.connection = connection;
+    this.decoder = decoder;
   }
 
   /** Returns whether a response has started and has not been decoded yet. */
@@ -43,6 +45,7 @@
   /** Prepares for the next response. */
   void reset() {
     matchedBytes = 0;
+    decoder.responseEnded();
     if (completionTimeout != null) {
       completionTimeout.cancel(false);
       completionTimeout = null;
@@ -54,6 +57,10 @@
     ByteBuf bytes = (ByteBuf) message;
     if (connection.hasCall() && matchesStart(bytes)) {
       context.fireChannelRead(bytes);
+      if (connection.hasCall() && !hasStarted() && decoder.hasPartialResponse()) {
+        // An informational response ended within these bytes, and the next response has started.
+        matchedBytes = RESPONSE_START.length;
+      }
     } else {
       bytes.release();
       connection.rejectUnexpectedBytes();
--- a/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -34,7 +34,8 @@
   private final Channel channel;
   private final IdleConnections idleConnections;
   private final LongPredicate ready;
-  private final ResponseStartCheck startCheck = new ResponseStartCheck(this);
+  private final ResponseDecoder decoder = new ResponseDecoder();
+  private final ResponseStartCheck startCheck = new ResponseStartCheck(this, decoder);
 
   /** The call whose response is awaited; null on an idle connection. */
   private UpstreamCall call;
@@ -62,7 +63,7 @@
         .addLast(
             startCheck,
             new HttpRequestEncoder(),
-            new ResponseDecoder(),
+            decoder,
             new ResponseFramingCheck(),
             new ResponseAggregator(),
             this);
--- /dev/null
+++ b/src/test/java/loadbalancer/proxy/FragmentedMessageTest.java
@@ -0,0 +1,183 @@
+package loadbalancer.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import loadbalancer.config.BalancerConfig;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.Event.AttemptEnded;
+import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Messages that arrive in pieces, wherever they are cut, and in all forms that HTTP/1.1 allows. */
+@Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+class FragmentedMessageTest {
+
+  private static final String NOWHERE = "127.0.0.1:1";
+  private static final long LONG = TimeUnit.SECONDS.toNanos(30);
+  private static final String INFORMATIONAL = "HTTP/1.1 100 Continue\r\n\r\n";
+
+  private static BalancerConfig one(FakeServer upstream) throws IOException {
+    return ProxyFixture.config(
+        NOWHERE,
+        ProxyFixture.list(1, true, ProxyFixture.member("s-1", upstream.address(), "ready")));
+  }
+
+  /** Waits until the proxy has read from all its sockets once more, and handled what was read. */
+  private static void awaitEventLoopTurns(ProxyFixture proxy) throws IOException {
+    for (int i = 0; i < 2; i++) {
+      try (Client other = proxy.client()) {
+        other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+      }
+    }
+  }
+
+  /**
+   * A segment ends an informational response and starts the final one. What followed was taken for
+   * the start of another response, and rejected.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "HTTP/1.1 20 | 0 OK~Content-Length: 2~~ok",
+        "HTTP/1.1 200 OK~ | Content-Length: 2~~ok",
+        "HTTP/1.1 200 OK~Content-Length: 2~~ | ok",
+        "HTTP/1.1 200 OK~Content-Length: 2~~o | k",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ok~ | 0~~"
+      })
+  void servesAResponseThatStartsInTheSegmentOfAnInformationalOne(String first, String rest)
+      throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(LONG);
+    CountDownLatch begun = new CountDownLatch(1);
+    CountDownLatch read = new CountDownLatch(1);
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  c.next();
+                  c.write(INFORMATIONAL + first.replace("~", "\r\n"));
+                  begun.countDown();
+                  read.await();
+                  c.write(rest.replace("~", "\r\n"));
+                  c.ends();
+                });
+        ProxyFixture proxy = new ProxyFixture(one(upstream), engine);
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("t", ""));
+      begun.await();
+      awaitEventLoopTurns(proxy);
+      read.countDown();
+      String answer = client.answer();
+      assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+      assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("\r\n\r\nok"), answer);
+    }
+  }
+
+  /** The same, and then nothing more: the client waited until its timeout. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 20",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+      })
+  void resetsAnAttemptWhoseResponseStopsAfterThatSegment(String first) throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(LONG);
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  c.next();
+                  c.write(INFORMATIONAL + first);
+                  c.ends();
+                });
+        ProxyFixture proxy = new ProxyFixture(one(upstream), engine);
+        Client client = proxy.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t", "")).startsWith("HTTP/1.1 502 "));
+      assertEquals(AttemptStatus.RESET, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  /** An informational response does not start the time limit of the final one. */
+  @Test
+  void waitsForTheFinalResponseAfterAnInformationalOne() throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(LONG);
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  c.next();
+                  c.write(INFORMATIONAL);
+                  Thread.sleep(500); // Longer than an answer may take that has begun.
+                  c.write(FakeServer.ok("ok"));
+                  c.ends();
+                });
+        ProxyFixture proxy = new ProxyFixture(one(upstream), engine);
+        Client client = proxy.client()) {
+      assertTrue(client.ask(ProxyFixture.get("t", "")).endsWith("\r\n\r\nok"));
+      assertEquals(AttemptStatus.SUCCESS, engine.next(AttemptEnded.class).status());
+    }
+  }
+
+  /** Every byte is written by itself. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK~Content-Length: 2~~ok",
+        "HTTP/1.1 200 ~content-length:2~~ok",
+        "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2;ext=1~ok~000~Trailer: x~~",
+        "HTTP/1.1 100 Continue~~HTTP/1.1 200 OK~Connection: close~Content-Length: 2~~ok"
+      })
+  void servesAResponseInSingleBytes(String answer) throws Exception {
+    ScriptedEngine engine = new ScriptedEngine(LONG);
+    try (FakeServer upstream =
+            new FakeServer(
+                c -> {
+                  c.next();
+                  for (char each : answer.replace("~", "\r\n").toCharArray()) {
+                    c.write(String.valueOf(each));
+                  }
+                  c.ends();
+                });
+        ProxyFixture proxy = new ProxyFixture(one(upstream), engine);
+        Client client = proxy.client()) {
+      String got = client.ask(ProxyFixture.get("t", ""));
+      assertTrue(got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\nok"), got);
+    }
+  }
+
+  /** A client that writes slowly: its request is forwarded as it was. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "Content-Length: 4~~body",
+        "Transfer-Encoding: chunked~~2~bo~2~dy~0~~",
+        "Transfer-Encoding: chunked~~4;ext=1~body~0~Trailer: x~~"
+      })
+  void servesARequestInSingleBytes(String framed) throws Exception {
+    String request =
+        ("POST /api HTTP/1.1~x-trace-id:t~X-Qos: keyed~Idempotency-Key: k~" + framed)
+            .replace("~", "\r\n");
+    try (FakeServer upstream = FakeServer.answering(FakeServer.ok("x"));
+        ProxyFixture proxy = new ProxyFixture(one(upstream), new ScriptedEngine(LONG));
+        Client client = proxy.client()) {
+      client.socket.setTcpNoDelay(true);
+      for (char each : request.toCharArray()) {
+        client.write(String.valueOf(each));
+      }
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      String got = upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
+      assertNotNull(got);
+      assertTrue(got.endsWith("\r\n\r\nbody") && got.contains("Idempotency-Key: k\r\n"), got);
+    }
+  }
+}
