Call the discovery agent again within a part of a drain's grace

Where lists are pushed, what the agent knows applies whether or not a watch stands. After failures in a row the waits between calls grow to 400 ms: four watches that end instead of sending a drain take 0.38 to 0.75 s by the constants, of a grace of 0.3 s in one of the deployments, and an endpoint that drains gets requests meanwhile.

--- a/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
@@ -24,6 +24,7 @@
 
   private final EventLoop loop;
   private final boolean pushed;
+  private final long drainGraceNanos;
   private final DiscoveryClient client;
   private final CountDownLatch firstUpdate = new CountDownLatch(1);
   private RequestDispatcher dispatcher;
@@ -34,15 +35,18 @@
    *
    * @param bootstrap makes connections on the event loop
    * @param pushed whether the list is pushed by an agent on this machine, instead of polled
+   * @param drainGraceNanos how long after the agent knows of it a drain has to be heeded
    */
   DiscoveryWatch(
       EventLoop loop,
       Bootstrap bootstrap,
       InetSocketAddress address,
       boolean pushed,
+      long drainGraceNanos,
       EndpointDirectory directory) {
     this.loop = loop;
     this.pushed = pushed;
+    this.drainGraceNanos = drainGraceNanos;
     client =
         new DiscoveryClient(
             bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS),
@@ -91,7 +95,7 @@
   }
 
   private void retryWatch() {
-    long backoffMillis = AgentRetryPolicy.backoffMillis(failures++);
+    long backoffMillis = AgentRetryPolicy.backoffMillis(failures++, drainGraceNanos);
     // Spread, so that the instances on a machine do not all call their agent at the same time.
     long delayMillis = ThreadLocalRandom.current().nextLong(backoffMillis / 2, backoffMillis);
     loop.schedule(client::resumeWatch, delayMillis, TimeUnit.MILLISECONDS);
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -108,7 +108,13 @@
         new GossipChannel(config.settings().instanceIndex(), config.peers(), config.peersAll());
     boolean pushed = !config.settings().polledDiscovery();
     discovery =
-        new DiscoveryWatch(loop, upstreams, config.discovery(), pushed, builder.directory());
+        new DiscoveryWatch(
+            loop,
+            upstreams,
+            config.discovery(),
+            pushed,
+            config.settings().contract().drainGraceNanos(),
+            builder.directory());
     components =
         builder
             .upstreams(upstreams, config.idleNanos(), config.loadReports())
