Count the heads of pipelined requests against the memory for bodies

Up to 32 requests wait on a connection, each with up to 12 KB of head, and only bodies were bounded: a few hundred clients with a slow request each could fill a heap of 12 to 64 MB, and the process ends when it is out of memory. The heads of waiting requests now count in the same budget. The request for which there is no room gets its error in its turn, after all that waited before it.

--- a/src/main/java/loadbalancer/downstream/BodyBudget.java
+++ b/src/main/java/loadbalancer/downstream/BodyBudget.java
@@ -2,7 +2,10 @@
 
 import io.netty.handler.codec.http.TooLongHttpContentException;
 
-/** Bounds the memory that the request bodies of all client connections take together, in bytes. */
+/**
+ * Bounds the memory that the request bodies of all client connections, and the heads of requests
+ * that wait for their turn, take together, in bytes.
+ */
 final class BodyBudget {
 
   private final long maxBytes;
@@ -24,6 +27,15 @@
     }
   }
 
+  /** Counts bytes if there is room for them; only then are they to be released. */
+  boolean tryReserve(long bytes) {
+    if (usedBytes + bytes > maxBytes) {
+      return false;
+    }
+    usedBytes += bytes;
+    return true;
+  }
+
   void release(long bytes) {
     usedBytes -= bytes;
   }
--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -34,7 +34,7 @@
   private final ClientConnections connections;
   private final ListenerState listenerState;
   private final RequestAggregator aggregator;
-  private final PipelinedRequests pipelined = new PipelinedRequests();
+  private final PipelinedRequests pipelined;
 
   /** A request, or an error, on this connection still has no response written. */
   private boolean responsePending;
@@ -69,6 +69,7 @@
     this.router = router;
     this.connections = connections;
     this.listenerState = listenerState;
+    pipelined = new PipelinedRequests(bodyBudget);
     aggregator = new RequestAggregator(bodyBudget, () -> responsePending);
   }
 
--- a/src/main/java/loadbalancer/downstream/PipelinedRequests.java
+++ b/src/main/java/loadbalancer/downstream/PipelinedRequests.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.ArrayDeque;
+import java.util.Map;
 
 /** The requests of one connection that wait for the response to an earlier one; it owns them. */
 final class PipelinedRequests {
@@ -11,39 +12,65 @@
   /** Bounds the memory that waiting requests take. */
   private static final int MAX_REQUESTS = 32;
 
+  /** What a waiting request takes in memory beside the text of its head, in bytes. */
+  private static final long REQUEST_BYTES = 512;
+
+  /** What each of its headers takes beside its text, in bytes. */
+  private static final long HEADER_BYTES = 96;
+
   /** A request that waits; its client's timeout runs from its arrival on. */
-  record Waiting(FullHttpRequest request, long arrivedAtNanos) {}
+  record Waiting(FullHttpRequest request, long arrivedAtNanos, long headBytes) {}
 
+  private final BodyBudget budget;
   private final ArrayDeque<Waiting> queue = new ArrayDeque<>(1);
 
+  /** Makes an empty queue; the heads of its requests count against the budget. */
+  PipelinedRequests(BodyBudget budget) {
+    this.budget = budget;
+  }
+
   boolean isEmpty() {
     return queue.isEmpty();
   }
 
   /**
-   * Queues a request and retains it; false if too many wait already. The last of these then counts
-   * as one whose decoding failed, and its error ends the connection in its turn.
+   * Queues a request and retains it; false if too many wait already, or too much memory is in use.
+   * The request then counts as one whose decoding failed, and its error ends the connection in its
+   * turn.
    */
   boolean offer(FullHttpRequest request, long arrivedAtNanos) {
-    if (queue.size() < MAX_REQUESTS) {
-      queue.add(new Waiting(request.retain(), arrivedAtNanos));
+    long headBytes = headBytes(request);
+    if (queue.size() < MAX_REQUESTS && budget.tryReserve(headBytes)) {
+      queue.add(new Waiting(request.retain(), arrivedAtNanos, headBytes));
       return true;
     }
-    DecoderResult failure =
-        DecoderResult.failure(new TooLongFrameException("too many pipelined requests"));
-    queue.peekLast().request().setDecoderResult(failure);
+    request.setDecoderResult(
+        DecoderResult.failure(new TooLongFrameException("too many pipelined requests")));
+    queue.add(new Waiting(request.retain(), arrivedAtNanos, 0));
     return false;
   }
 
+  /** About what a request's head takes in memory. */
+  private static long headBytes(FullHttpRequest request) {
+    long bytes = REQUEST_BYTES + request.uri().length();
+    for (Map.Entry<String, String> header : request.headers()) {
+      bytes += HEADER_BYTES + header.getKey().length() + header.getValue().length();
+    }
+    return bytes;
+  }
+
   /** The next request, which is the caller's to release; null for none. */
   Waiting poll() {
-    return queue.poll();
+    Waiting next = queue.poll();
+    if (next != null) {
+      budget.release(next.headBytes());
+    }
+    return next;
   }
 
   void releaseAll() {
-    for (Waiting waiting : queue) {
+    for (Waiting waiting = poll(); waiting != null; waiting = poll()) {
       waiting.request().release();
     }
-    queue.clear();
   }
 }
