Time out a part of a request that arrived with a complete one

A connection forgot that a request had started when another one in the same segment was complete: it counted as idle for a minute, where an error is owed within 3 s, and a shutdown closed it in the middle of the request. The decoder now tells whether it holds a part of a request. HttpServerCodec does not let it be asked, so that its two halves are in the pipeline themselves; the error that HEAD gets ends its connection, since the codec no longer drops its body.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.io.IOException;
@@ -33,6 +34,7 @@
   private final RequestRouter router;
   private final ClientConnections connections;
   private final ListenerState listenerState;
+  private final RequestDecoder decoder = new RequestDecoder();
   private final RequestAggregator aggregator;
   private final PipelinedRequests pipelined;
 
@@ -48,7 +50,7 @@
   /** Whether the client of the request being served wants the connection kept alive. */
   private boolean keepAlive;
 
-  /** Bytes have arrived since the last complete request. */
+  /** A request has started to arrive and is not complete. */
   private boolean partialRequest;
 
   /** Further input is not read: it follows an error, exceeds a limit, or the client ended it. */
@@ -73,6 +75,11 @@
     aggregator = new RequestAggregator(bodyBudget, () -> responsePending);
   }
 
+  /** The handler that decodes this connection's requests. */
+  RequestDecoder decoder() {
+    return decoder;
+  }
+
   /** The handler that puts this connection's requests together. */
   RequestAggregator aggregator() {
     return aggregator;
@@ -85,20 +92,25 @@
     connections.setState(this, State.READING);
   }
 
-  /** Bytes are about to be decoded; false to drop them. From the first on the time limit runs. */
-  boolean bytesReceived() {
-    if (discardInput) {
-      return false;
-    }
-    partialRequest = true;
-    if (connections.isIn(State.IDLE, this)) {
+  /** Whether bytes that have arrived are to be decoded. */
+  boolean readsInput() {
+    return !discardInput;
+  }
+
+  /**
+   * Bytes have been decoded: they may have completed requests, and the rest of them have started
+   * another. From then on the time limit runs.
+   */
+  void bytesDecoded() {
+    partialRequest = decoder.hasPartialRequest();
+    if (partialRequest && connections.isIn(State.IDLE, this)) {
       connections.setState(this, State.READING);
     }
-    return true;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    decoder.requestEnded();
     if (discardInput) {
       return;
     }
@@ -204,7 +216,8 @@
     partialRequest = false;
     currentBodyBytes = request.content().readableBytes();
     connections.setState(this, State.SERVING);
-    keepAlive = HttpUtil.isKeepAlive(request);
+    // A response to HEAD has no body, and the error that HEAD gets has one: nothing may follow it.
+    keepAlive = HttpUtil.isKeepAlive(request) && !request.method().equals(HttpMethod.HEAD);
     RoutingResult result = router.route(request, arrivedAtNanos, this, halfClosed);
     if (result instanceof DownstreamRequest accepted) {
       accepted.message().retain();
--- a/src/main/java/loadbalancer/downstream/DownstreamListener.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamListener.java
@@ -4,8 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.SocketAddress;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.decision.api.Settings;
@@ -21,12 +20,6 @@
  */
 public final class DownstreamListener {
 
-  /**
-   * Requests that the codec may have decoded without a response; more than one read can hold, since
-   * the limit for pipelined requests is {@link ClientConnection}'s, which responds in turn.
-   */
-  private static final int MAX_DECODED_REQUESTS = 8192;
-
   private static final long EXPIRY_CHECK_MILLIS = 100;
 
   private final RequestHandler handler;
@@ -126,12 +119,12 @@
   private void initialize(Channel channel) {
     ClientConnection connection =
         new ClientConnection(channel, handler, router, connections, state, bodyBudget);
-    // The codec fails a request with two lengths, or with a length and Transfer-Encoding.
     channel
         .pipeline()
         .addLast(
             new InboundBytesHandler(connection),
-            new HttpServerCodec(new HttpDecoderConfig(), MAX_DECODED_REQUESTS),
+            connection.decoder(),
+            new HttpResponseEncoder(),
             connection.aggregator(),
             connection);
     admit(channel);
--- a/src/main/java/loadbalancer/downstream/InboundBytesHandler.java
+++ b/src/main/java/loadbalancer/downstream/InboundBytesHandler.java
@@ -4,7 +4,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.ReferenceCountUtil;
 
-/** Sees a connection's bytes before they are decoded, and drops those it no longer reads. */
+/** Sees a connection's bytes before and after they are decoded; drops those it no longer reads. */
 final class InboundBytesHandler extends ChannelInboundHandlerAdapter {
 
   private final ClientConnection connection;
@@ -15,8 +15,9 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object bytes) {
-    if (connection.bytesReceived()) {
+    if (connection.readsInput()) {
       context.fireChannelRead(bytes);
+      connection.bytesDecoded();
     } else {
       ReferenceCountUtil.release(bytes);
     }
--- a/src/test/java/loadbalancer/proxy/ClientFloodTest.java
+++ b/src/test/java/loadbalancer/proxy/ClientFloodTest.java
@@ -1,6 +1,8 @@
 package loadbalancer.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -201,4 +203,27 @@
           "and there is room again");
     }
   }
+
+  /**
+   * A complete request and a part of another arrive together, and then nothing more: the partial
+   * one gets its error.
+   */
+  @Test
+  void timesOutAPartialRequestBehindACompleteOne() throws Exception {
+    try (ProxyFixture proxy =
+            new ProxyFixture(ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true)));
+        Client client = proxy.client()) {
+      long from = System.nanoTime();
+      client.write(HEALTH + "GET /api HT");
+      assertTrue(client.answer().startsWith("HTTP/1.1 503 "));
+      String answer = client.answer();
+      assertNotNull(answer, "closed without a word");
+      assertTrue(answer.startsWith("HTTP/1.1 408 "), answer);
+      assertNull(client.answer());
+      assertEquals(
+          0,
+          TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - from) / 10,
+          "in seconds, not in a minute");
+    }
+  }
 }
