Admit a request after 2 s without an admission

It now admits one after 2 s without any. Settings whose longest objective is up to 1 s are not affected.

AdmissionFloorTest: without the change 5.9 and 6.0 s pass without an attempt with an objective of 3 s, 19.5 s with one of 10 s; with it all cases stay below 4 s.

--- a/src/main/java/loadbalancer/decision/AdaptiveRateLimiter.java
+++ b/src/main/java/loadbalancer/decision/AdaptiveRateLimiter.java
@@ -12,6 +12,9 @@
   private static final double MAX_VALUE = 1.0; // and a whole one critical
   private static final double HEADROOM = 1.1; // maximum rate over what the window was offered
   private static final double MIN_RATE_PART = 0.02; // minimum rate over the maximum
+  // Between admissions. With long objectives the line alone may admit nothing for longer, and an
+  // instance that rejects everything would not learn that its endpoints are better.
+  private static final long MAX_PAUSE_NANOS = 2 * DecisionContext.SECOND_NANOS;
   private static final double OVER_QUOTA_LINE = 0.3; // of these latencies, for what earns nothing
   private static final double USUAL_WINDOWS = 2; // over which load is a mean: a crowd forms faster
 
@@ -20,6 +23,7 @@
   private final SlidingWindow fleet;
   private double usualLoad; // in flight at one ready endpoint while the fleet is healthy
   private double usualLoadNanos; // time that this mean covers
+  private long admittedAt;
 
   AdaptiveRateLimiter(DecisionContext context, EndpointRegistry registry) {
     this.context = context;
@@ -50,9 +54,11 @@
     // With no more in flight than in health, an overload is not of this instance's making.
     boolean idle = registry.readyLoad + queued < usualLoad * registry.ready.length;
     boolean isProtected = idle && request.hasQuota && !request.overQuota;
-    if (route.total(context.now, Metric.ADMITTED) >= allowed && !isProtected) {
+    boolean isPaused = context.now - admittedAt >= MAX_PAUSE_NANOS;
+    if (route.total(context.now, Metric.ADMITTED) >= allowed && !isProtected && !isPaused) {
       return false;
     }
+    admittedAt = context.now;
     route.add(context.now, Metric.ADMITTED, 1);
     return true;
   }
--- /dev/null
+++ b/src/test/java/loadbalancer/decision/AdmissionFloorTest.java
@@ -0,0 +1,69 @@
+package loadbalancer.decision;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import loadbalancer.decision.EngineDriver.InFlightAttempt;
+import loadbalancer.decision.api.Action.RejectRequest;
+import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.decision.api.DedupScope;
+import loadbalancer.decision.api.Event.RequestArrived;
+import loadbalancer.decision.api.Idempotence;
+import loadbalancer.decision.api.RequestClass;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** However bad the last responses were, an instance that rejects still tries now and then. */
+class AdmissionFloorTest {
+
+  /** An instance may not reject everything for so long without an attempt. */
+  private static final long LIMIT_NANOS = 4000 * EngineDriver.MS;
+
+  private static final long INTERVAL_NANOS = 100 * EngineDriver.MS;
+
+  /**
+   * Every attempt ends after twice the latency objective; windows are two objectives long. In none
+   * of the cases are all endpoints full: where they are, nothing could be attempted.
+   */
+  @ParameterizedTest
+  @CsvSource({"400, SUCCESS", "400, TIMEOUT", "3000, SUCCESS", "3000, TIMEOUT", "10000, TIMEOUT"})
+  void attemptsSomethingEveryFewSecondsWhileItRejects(long objectiveMillis, AttemptStatus status) {
+    long objective = objectiveMillis * EngineDriver.MS;
+    RequestClass requestClass =
+        new RequestClass(
+            "c",
+            Idempotence.IDEMPOTENT,
+            DedupScope.ALL,
+            0,
+            objective,
+            0,
+            4 * objective,
+            1,
+            0,
+            false);
+    EngineDriver driver =
+        new EngineDriver(EngineDriver.settings(false, List.of(), requestClass)).withEndpoints(4);
+    long lastAttempt = driver.now;
+    long longestPause = 0;
+    int rejected = 0;
+    for (long end = driver.now + 60_000 * EngineDriver.MS; driver.now < end; ) {
+      String id = driver.nextRequestId();
+      boolean isRejected =
+          EngineDriver.contains(
+              driver.handle(
+                  new RequestArrived(id, "c", null, id, driver.now + 4 * objective, 0, false)),
+              RejectRequest.class);
+      rejected += isRejected ? 1 : 0;
+      driver.completeFor(INTERVAL_NANOS, status, 2 * objective);
+      // An attempt takes longer than the interval, so that a new one is still in flight.
+      for (InFlightAttempt attempt : driver.inFlight) {
+        longestPause = Math.max(longestPause, attempt.startedAt() - lastAttempt);
+        lastAttempt = Math.max(lastAttempt, attempt.startedAt());
+      }
+    }
+    longestPause = Math.max(longestPause, driver.now - lastAttempt);
+    assertTrue(rejected > 100, "rejected: " + rejected);
+    assertTrue(
+        longestPause < LIMIT_NANOS, "no attempt for " + longestPause / EngineDriver.MS + " ms");
+  }
+}
