--- a/src/test/java/loadbalancer/proxy/AgentWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/AgentWatchTest.java
@@ -29,6 +29,7 @@
 
 /** Where lists are pushed, what the agent knows applies at once, whether or not a watch stands. */
 @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
+@SuppressWarnings("try") // The proxy runs while its engine is asked.
 class AgentWatchTest {
 
   private static final long GRACE_MILLIS = 300;
@@ -55,6 +56,7 @@
     WHOLE(c -> c.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")),
     DOWN(c -> c.write("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"));
 
+    @SuppressWarnings("ImmutableEnumChecker") // A script holds no state.
     final FakeServer.Script script;
 
     End(FakeServer.Script script) {
--- a/src/test/java/loadbalancer/proxy/ConnectionCloseTest.java
+++ b/src/test/java/loadbalancer/proxy/ConnectionCloseTest.java
@@ -165,6 +165,7 @@
     A_SECOND_ANSWER(c -> c.write(FakeServer.ok("surplus"))),
     A_RESET(FakeServer.Connection::reset);
 
+    @SuppressWarnings("ImmutableEnumChecker") // A script holds no state.
     final FakeServer.Script script;
 
     Late(FakeServer.Script script) {
--- a/src/test/java/loadbalancer/proxy/FragmentedMessageTest.java
+++ b/src/test/java/loadbalancer/proxy/FragmentedMessageTest.java
@@ -171,8 +171,8 @@
         ProxyFixture proxy = new ProxyFixture(one(upstream), new ScriptedEngine(LONG));
         Client client = proxy.client()) {
       client.socket.setTcpNoDelay(true);
-      for (char each : request.toCharArray()) {
-        client.write(String.valueOf(each));
+      for (int i = 0; i < request.length(); i++) {
+        client.write(request.substring(i, i + 1));
       }
       assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
       String got = upstream.requests.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
--- a/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
+++ b/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -109,7 +110,7 @@
             told <= 30_000 - passed,
             "told " + told + " ms of 30000 when " + passed + " had passed");
         assertTrue(told > 0, "told " + told);
-        connection.getOutputStream().write(FakeServer.ok("x").getBytes());
+        connection.getOutputStream().write(FakeServer.ok("x").getBytes(StandardCharsets.US_ASCII));
         assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
       }
     }
