--- a/src/test/java/loadbalancer/proxy/AgentWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/AgentWatchTest.java
@@ -71,7 +71,7 @@
   @ParameterizedTest
   @CsvSource({"CLOSED", "RESET", "WHOLE", "DOWN"})
   void learnsOfADrainWithinItsGraceWhenWatchesEndWithoutAnUpdate(End end) throws Exception {
-    String a = ProxyFixture.member("s-a", "127.0.0.1:1", "ready");
+    String first = ProxyFixture.member("s-a", "127.0.0.1:1", "ready");
     AtomicInteger watches = new AtomicInteger();
     AtomicLong toldAt = new AtomicLong();
     CountDownLatch listed = new CountDownLatch(1);
@@ -82,7 +82,7 @@
                   c.next();
                   int number = watches.incrementAndGet();
                   if (number == 1) {
-                    c.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, a)));
+                    c.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, first)));
                     listed.await();
                     toldAt.set(System.nanoTime());
                     end.script.run(c);
@@ -95,7 +95,7 @@
                     c.ends();
                   }
                 });
-        ProxyFixture proxy = new ProxyFixture(pushed(discovery, a), engine)) {
+        ProxyFixture proxy = new ProxyFixture(pushed(discovery, first), engine)) {
       engine.next(EndpointListUpdate.class);
       assertEquals(UpdateKind.FULL, engine.next(EndpointListUpdate.class).kind());
       listed.countDown();
@@ -138,6 +138,26 @@
     }
   }
 
+  /**
+   * Discovery whose first watch lists two endpoints and ends without an update; every later one
+   * lists only the first of them.
+   */
+  private static FakeServer omitting(String stays, String leaves, CountDownLatch left)
+      throws IOException {
+    AtomicInteger watches = new AtomicInteger();
+    return new FakeServer(
+        c -> {
+          c.next();
+          if (watches.incrementAndGet() == 1) {
+            c.write(DiscoveryMessages.watch(ProxyFixture.list(2, true, stays, leaves)));
+            left.await();
+          } else {
+            c.write(DiscoveryMessages.watch(ProxyFixture.list(3, true, stays)));
+            c.ends();
+          }
+        });
+  }
+
   /**
    * A watch that replaces one begins with the complete list, which omits what drains: that endpoint
    * is gone, though it still responds.
@@ -145,28 +165,13 @@
   @Test
   void sendsNothingToAnEndpointThatACompleteListOmits() throws Exception {
     CountDownLatch left = new CountDownLatch(1);
-    AtomicInteger watches = new AtomicInteger();
     try (FakeServer leaving = FakeServer.answering(FakeServer.ok("leaving"));
         FakeServer staying = FakeServer.answering(FakeServer.ok("staying"));
         FakeServer discovery =
-            new FakeServer(
-                c -> {
-                  String stays = ProxyFixture.member("s-stays", staying.address(), "ready");
-                  c.next();
-                  if (watches.incrementAndGet() == 1) {
-                    c.write(
-                        DiscoveryMessages.watch(
-                            ProxyFixture.list(
-                                2,
-                                true,
-                                stays,
-                                ProxyFixture.member("s-leaves", leaving.address(), "ready"))));
-                    left.await(); // And ends without an update.
-                  } else {
-                    c.write(DiscoveryMessages.watch(ProxyFixture.list(3, true, stays)));
-                    c.ends();
-                  }
-                })) {
+            omitting(
+                ProxyFixture.member("s-stays", staying.address(), "ready"),
+                ProxyFixture.member("s-leaves", leaving.address(), "ready"),
+                left)) {
       BalancerConfig config =
           pushed(discovery, ProxyFixture.member("s-leaves", leaving.address(), "ready"));
       LoadBalancingEngine logic = new LoadBalancingEngine(config.settings(), config.seed());
--- a/src/test/java/loadbalancer/proxy/ConnectionCloseTest.java
+++ b/src/test/java/loadbalancer/proxy/ConnectionCloseTest.java
@@ -70,12 +70,12 @@
     ScriptedEngine engine =
         new ScriptedEngine(
             (event, out) -> {
-              if (event instanceof RequestArrived r) {
+              if (event instanceof RequestArrived arrived) {
                 if (!askedByTheClient) {
                   started.get().server.listener().closeIdleConnections();
                 }
                 write(asking.get(), more);
-                out.accept(new RejectRequest(r.requestId(), 0));
+                out.accept(new RejectRequest(arrived.requestId(), 0));
               }
             });
     try (ProxyFixture proxy =
@@ -95,6 +95,33 @@
     }
   }
 
+  /**
+   * An engine that forwards the request, closing idle connections first where the client did not
+   * ask for the close, and writes more input in the turn in which the response was written.
+   */
+  private static ScriptedEngine forwardingThenWriting(
+      Socket client, AtomicReference<ProxyFixture> started, boolean askedByTheClient) {
+    return new ScriptedEngine(
+        (event, out) -> {
+        if (event instanceof RequestArrived arrived) {
+          if (!askedByTheClient) {
+            started.get().server.listener().closeIdleConnections();
+          }
+          out.accept(
+              new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-1"), LONG));
+        } else if (event instanceof AttemptEnded ended && ended.finished()) {
+          // In the turn in which the response was written, and after that.
+          try {
+            client
+                .getOutputStream()
+                .write("GET /api HT".getBytes(StandardCharsets.ISO_8859_1));
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        }
+        });
+  }
+
   /**
    * More input arrives right behind the last response of a connection, of which the client has read
    * nothing. The close over unread input reset the connection, and the part of the response that
@@ -107,26 +134,7 @@
     AtomicReference<ProxyFixture> started = new AtomicReference<>();
     try (FakeServer upstream = FakeServer.answering(FakeServer.ok(body));
         Socket client = new Socket()) {
-      ScriptedEngine engine =
-          new ScriptedEngine(
-              (event, out) -> {
-                if (event instanceof RequestArrived r) {
-                  if (!askedByTheClient) {
-                    started.get().server.listener().closeIdleConnections();
-                  }
-                  out.accept(
-                      new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), LONG));
-                } else if (event instanceof AttemptEnded o && o.finished()) {
-                  // In the turn in which the response was written, and after that.
-                  try {
-                    client
-                        .getOutputStream()
-                        .write("GET /api HT".getBytes(StandardCharsets.ISO_8859_1));
-                  } catch (IOException e) {
-                    throw new UncheckedIOException(e);
-                  }
-                }
-              });
+      ScriptedEngine engine = forwardingThenWriting(client, started, askedByTheClient);
       try (ProxyFixture proxy =
           new ProxyFixture(
               ProxyFixture.config(
@@ -173,6 +181,51 @@
     }
   }
 
+  /**
+   * An engine that starts a queued request's attempt on a cue, once what arrives on the idle
+   * connection is in the kernel.
+   */
+  private static ScriptedEngine reusingOnCue(CountDownLatch cue, CountDownLatch done) {
+    List<String> held = new ArrayList<>();
+    return new ScriptedEngine(
+        (event, out) -> {
+          if (event instanceof RequestArrived arrived && arrived.workHintNanos() > 0) {
+            cue.countDown();
+            try {
+              assertTrue(done.await(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
+            } catch (InterruptedException e) {
+              throw new IllegalStateException(e);
+            }
+            out.accept(new StartAttempt(held.get(0), DiscoveryMessages.number("s-1"), LONG));
+            out.accept(new RejectRequest(arrived.requestId(), 0));
+          } else if (event instanceof RequestArrived arrived && arrived.tenant() != null) {
+            held.add(arrived.requestId());
+          } else if (event instanceof RequestArrived arrived) {
+            out.accept(new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-1"), LONG));
+          } else if (event instanceof AttemptEnded ended && !ended.finished()) {
+            out.accept(new FailRequest(ended.requestId()));
+          }
+        });
+  }
+
+  /** An upstream that, behind its first response and on a cue, does what is late. */
+  private static FakeServer respondingAndThen(
+      Late late, CountDownLatch cue, CountDownLatch done) throws IOException {
+    return new FakeServer(
+        c -> {
+          for (String request = c.next(); request != null; request = c.next()) {
+            boolean first = request.contains("X-Trace-Id: t1");
+            c.write(FakeServer.ok(first ? "first" : "second"));
+            if (first) {
+              cue.await();
+              // By the thread that reads: a reset is on its way once it has closed, not before.
+              late.script.run(c);
+              done.countDown();
+            }
+          }
+        });
+  }
+
   /**
    * The input is in the kernel, and the event loop has not seen it: the request goes out on another
    * connection.
@@ -182,42 +235,8 @@
   void doesNotReuseAnUpstreamConnectionWithUnreadInput(Late late) throws Exception {
     CountDownLatch cue = new CountDownLatch(1);
     CountDownLatch done = new CountDownLatch(1);
-    List<String> held = new ArrayList<>();
-    ScriptedEngine engine =
-        new ScriptedEngine(
-            (event, out) -> {
-              if (event instanceof RequestArrived r && r.workHintNanos() > 0) {
-                cue.countDown();
-                try {
-                  assertTrue(done.await(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS));
-                } catch (InterruptedException e) {
-                  throw new IllegalStateException(e);
-                }
-                out.accept(new StartAttempt(held.get(0), DiscoveryMessages.number("s-1"), LONG));
-                out.accept(new RejectRequest(r.requestId(), 0));
-              } else if (event instanceof RequestArrived r && r.tenant() != null) {
-                held.add(r.requestId());
-              } else if (event instanceof RequestArrived r) {
-                out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-1"), LONG));
-              } else if (event instanceof AttemptEnded o && !o.finished()) {
-                out.accept(new FailRequest(o.requestId()));
-              }
-            });
-    try (FakeServer upstream =
-            new FakeServer(
-                c -> {
-                  for (String request = c.next(); request != null; request = c.next()) {
-                    boolean first = request.contains("X-Trace-Id: t1");
-                    c.write(FakeServer.ok(first ? "first" : "second"));
-                    if (first) {
-                      cue.await();
-                      late.script.run(
-                          c); // By the thread that reads: a reset is on its way when it has closed,
-                      // and not before.
-                      done.countDown();
-                    }
-                  }
-                });
+    ScriptedEngine engine = reusingOnCue(cue, done);
+    try (FakeServer upstream = respondingAndThen(late, cue, done);
         ProxyFixture proxy =
             new ProxyFixture(
                 ProxyFixture.config(
@@ -240,6 +259,28 @@
     }
   }
 
+  /** An engine that on a cue has one client write a request and another one connect. */
+  private static ScriptedEngine connectingOnCue(
+      AtomicReference<ProxyFixture> started,
+      AtomicReference<Client> unread,
+      CompletableFuture<Client> accepted) {
+    return new ScriptedEngine(
+        (event, out) -> {
+          if (event instanceof RequestArrived arrived) {
+            if (arrived.workHintNanos() > 0) {
+              write(unread.get(), ProxyFixture.get("crossing", ""));
+              try {
+                accepted.complete(started.get().client());
+              } catch (IOException e) {
+                accepted.completeExceptionally(e);
+              }
+              started.get().server.listener().stopAccepting(); // It accepts what has connected.
+            }
+            out.accept(new RejectRequest(arrived.requestId(), 0));
+          }
+        });
+  }
+
   /**
    * Descriptors run out while a request is unread on the connection that would be shed first:
    * another one goes.
@@ -250,22 +291,7 @@
     AtomicReference<ProxyFixture> started = new AtomicReference<>();
     AtomicReference<Client> lying = new AtomicReference<>();
     CompletableFuture<Client> accepted = new CompletableFuture<>();
-    ScriptedEngine engine =
-        new ScriptedEngine(
-            (event, out) -> {
-              if (event instanceof RequestArrived r) {
-                if (r.workHintNanos() > 0) {
-                  write(lying.get(), ProxyFixture.get("crossing", ""));
-                  try {
-                    accepted.complete(started.get().client());
-                  } catch (IOException e) {
-                    accepted.completeExceptionally(e);
-                  }
-                  started.get().server.listener().stopAccepting(); // It accepts what has connected.
-                }
-                out.accept(new RejectRequest(r.requestId(), 0));
-              }
-            });
+    ScriptedEngine engine = connectingOnCue(started, lying, accepted);
     // At the limit of three clients the one that connected first is shed first.
     BalancerConfig config =
         ProxyFixture.config(NOWHERE, ProxyFixture.list(1, true), "on_request", 200, 62, "");
@@ -298,8 +324,8 @@
     ScriptedEngine engine =
         new ScriptedEngine(
             (event, out) -> {
-              if (event instanceof RequestArrived r) {
-                out.accept(new RejectRequest(r.requestId(), 0));
+              if (event instanceof RequestArrived arrived) {
+                out.accept(new RejectRequest(arrived.requestId(), 0));
               }
             });
     try (ProxyFixture proxy =
--- a/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
+++ b/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
@@ -78,14 +78,14 @@
     ScriptedEngine engine =
         new ScriptedEngine(
             (event, out) -> {
-              if (event instanceof RequestArrived r) {
+              if (event instanceof RequestArrived arrived) {
                 out.accept(
                     new StartAttempt(
-                        r.requestId(), DiscoveryMessages.number(further ? "s-1" : "s-2"), 0));
-              } else if (event instanceof AttemptEnded o && further && o.attempt() == 0) {
-                out.accept(new StartAttempt(o.requestId(), DiscoveryMessages.number("s-2"), 0));
-              } else if (event instanceof AttemptEnded o && !o.finished()) {
-                out.accept(new FailRequest(o.requestId()));
+                        arrived.requestId(), DiscoveryMessages.number(further ? "s-1" : "s-2"), 0));
+              } else if (event instanceof AttemptEnded ended && further && ended.attempt() == 0) {
+                out.accept(new StartAttempt(ended.requestId(), DiscoveryMessages.number("s-2"), 0));
+              } else if (event instanceof AttemptEnded ended && !ended.finished()) {
+                out.accept(new FailRequest(ended.requestId()));
               }
             });
     try (FakeServer full =
@@ -100,9 +100,8 @@
       if (further) {
         assertEquals(AttemptStatus.REJECTED, engine.next(AttemptEnded.class).status());
       }
-      Thread.sleep(
-          400); // The lateness itself is what is tested: there is no room for the connection before
-      // this is over.
+      // The lateness itself is what is tested: the backlog has no room before this is over.
+      Thread.sleep(400);
       long passed = millisSince(from);
       try (Socket connection = late.accept()) {
         long told = told(FakeServer.Message.read(connection.getInputStream()));
@@ -128,7 +127,7 @@
     ScriptedEngine engine =
         new ScriptedEngine(
             (event, out) -> {
-              if (event instanceof RequestArrived r && r.workHintNanos() > 0) {
+              if (event instanceof RequestArrived arrived && arrived.workHintNanos() > 0) {
                 long from = System.nanoTime();
                 try {
                   accepted.complete(upstream.get().accept());
@@ -136,11 +135,11 @@
                 } catch (IOException | InterruptedException e) {
                   accepted.completeExceptionally(e);
                 }
-                out.accept(new RejectRequest(r.requestId(), 0));
-              } else if (event instanceof RequestArrived r) {
-                out.accept(new StartAttempt(r.requestId(), DiscoveryMessages.number("s-2"), 0));
-              } else if (event instanceof AttemptEnded o && !o.finished()) {
-                out.accept(new FailRequest(o.requestId()));
+                out.accept(new RejectRequest(arrived.requestId(), 0));
+              } else if (event instanceof RequestArrived arrived) {
+                out.accept(new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-2"), 0));
+              } else if (event instanceof AttemptEnded ended && !ended.finished()) {
+                out.accept(new FailRequest(ended.requestId()));
               }
             });
     try (UnresponsiveUpstream late = new UnresponsiveUpstream();
