--- a/src/test/java/loadbalancer/proxy/AgentWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/AgentWatchTest.java
@@ -91,7 +91,7 @@
                   } else {
                     c.write(
                         DiscoveryMessages.watch(
-                            ProxyFixture.list(3, true, a.replace("ready", "draining"))));
+                            ProxyFixture.list(3, true, first.replace("ready", "draining"))));
                     c.ends();
                   }
                 });
@@ -158,6 +158,14 @@
         });
   }
 
+  /** Asks with many keys, of which some would go to the endpoint that has left. */
+  private static void assertServedByTheStayingEndpoint(Client client) throws IOException {
+    for (int i = 0; i < 40; i++) {
+      String response = client.ask(ProxyFixture.get("u" + i, "Cookie: sid=" + i + "\r\n"));
+      assertTrue(response.endsWith("\r\n\r\nstaying"), response);
+    }
+  }
+
   /**
    * A watch that replaces one begins with the complete list, which omits what drains: that endpoint
    * is gone, though it still responds.
@@ -195,12 +203,7 @@
         assertEquals(
             1, told.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS).endpoints().size());
         leaving.requests.clear();
-        for (int i = 0; i < 40; i++) {
-          assertTrue(
-              client
-                  .ask(ProxyFixture.get("u" + i, "Cookie: sid=" + i + "\r\n"))
-                  .endsWith("\r\n\r\nstaying"));
-        }
+        assertServedByTheStayingEndpoint(client);
         assertTrue(leaving.requests.isEmpty());
       }
     }
--- a/src/test/java/loadbalancer/proxy/ConnectionCloseTest.java
+++ b/src/test/java/loadbalancer/proxy/ConnectionCloseTest.java
@@ -103,22 +103,20 @@
       Socket client, AtomicReference<ProxyFixture> started, boolean askedByTheClient) {
     return new ScriptedEngine(
         (event, out) -> {
-        if (event instanceof RequestArrived arrived) {
-          if (!askedByTheClient) {
-            started.get().server.listener().closeIdleConnections();
-          }
-          out.accept(
-              new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-1"), LONG));
-        } else if (event instanceof AttemptEnded ended && ended.finished()) {
-          // In the turn in which the response was written, and after that.
-          try {
-            client
-                .getOutputStream()
-                .write("GET /api HT".getBytes(StandardCharsets.ISO_8859_1));
-          } catch (IOException e) {
-            throw new UncheckedIOException(e);
+          if (event instanceof RequestArrived arrived) {
+            if (!askedByTheClient) {
+              started.get().server.listener().closeIdleConnections();
+            }
+            out.accept(
+                new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-1"), LONG));
+          } else if (event instanceof AttemptEnded ended && ended.finished()) {
+            // In the turn in which the response was written, and after that.
+            try {
+              client.getOutputStream().write("GET /api HT".getBytes(StandardCharsets.ISO_8859_1));
+            } catch (IOException e) {
+              throw new UncheckedIOException(e);
+            }
           }
-        }
         });
   }
 
@@ -201,7 +199,8 @@
           } else if (event instanceof RequestArrived arrived && arrived.tenant() != null) {
             held.add(arrived.requestId());
           } else if (event instanceof RequestArrived arrived) {
-            out.accept(new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-1"), LONG));
+            out.accept(
+                new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-1"), LONG));
           } else if (event instanceof AttemptEnded ended && !ended.finished()) {
             out.accept(new FailRequest(ended.requestId()));
           }
@@ -209,8 +208,8 @@
   }
 
   /** An upstream that, behind its first response and on a cue, does what is late. */
-  private static FakeServer respondingAndThen(
-      Late late, CountDownLatch cue, CountDownLatch done) throws IOException {
+  private static FakeServer respondingAndThen(Late late, CountDownLatch cue, CountDownLatch done)
+      throws IOException {
     return new FakeServer(
         c -> {
           for (String request = c.next(); request != null; request = c.next()) {
--- a/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
+++ b/src/test/java/loadbalancer/proxy/RemainingTimeTest.java
@@ -137,7 +137,8 @@
                 }
                 out.accept(new RejectRequest(arrived.requestId(), 0));
               } else if (event instanceof RequestArrived arrived) {
-                out.accept(new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-2"), 0));
+                out.accept(
+                    new StartAttempt(arrived.requestId(), DiscoveryMessages.number("s-2"), 0));
               } else if (event instanceof AttemptEnded ended && !ended.finished()) {
                 out.accept(new FailRequest(ended.requestId()));
               }
