--- a/src/test/java/loadbalancer/decision/AdaptiveRateLimiterTest.java
+++ b/src/test/java/loadbalancer/decision/AdaptiveRateLimiterTest.java
@@ -60,21 +60,18 @@
     assertEquals(4, published(99_000));
   }
 
+  private static EngineDriver fiveEndpoints() {
+    return new EngineDriver(idempotentOnly()).withEndpoints(5);
+  }
+
   @Test
   void admitsEverythingWhileTheFleetIsHealthy() {
-    assertEquals(
-        0,
-        rejectedShare(
-            new EngineDriver(idempotentOnly()).withEndpoints(5),
-            500,
-            5,
-            40 * MS,
-            AttemptStatus.SUCCESS));
+    assertEquals(0, rejectedShare(fiveEndpoints(), 500, 5, 40 * MS, AttemptStatus.SUCCESS));
   }
 
   @Test
   void rejectsWhenAllowedRateIsReached() {
-    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    EngineDriver driver = fiveEndpoints();
     rejectedShare(driver, 300, 2, 40 * MS, AttemptStatus.SUCCESS);
     assertTrue(rejectedShare(driver, 600, 30, 700 * MS, AttemptStatus.SUCCESS) > 0.2);
   }
@@ -82,7 +79,7 @@
   /** A retry past the latency objective earns nothing and crowds out others. */
   @Test
   void retryAfterIsSpreadOverATenthOfTheLatencyObjective() {
-    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    EngineDriver driver = fiveEndpoints();
     rejectedShare(driver, 600, 30, 700 * MS, AttemptStatus.SUCCESS);
     List<Long> waits = new ArrayList<>();
     for (int i = 0; i < 600; i++) {
@@ -102,7 +99,7 @@
   /** Such clients had healthy endpoints ejected, and the requests of all others rejected. */
   @Test
   void timeOutsBeforeTheLatencyObjectiveCountAgainstNoEndpoint() {
-    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    EngineDriver driver = fiveEndpoints();
     EngineDriver.InFlightAttempt impatient = null;
     for (int i = 0; i < 500; i++) {
       driver.serve("k" + i % 50, 40 * MS);
@@ -162,7 +159,7 @@
   /** A fleet that collapsed would get no relief otherwise. */
   @Test
   void rejectsWithoutQuotasThoughFewAreInFlight() {
-    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    EngineDriver driver = fiveEndpoints();
     rejectedShare(driver, 2000, 10, 40 * MS, AttemptStatus.SUCCESS);
     assertTrue(rejectedShare(driver, 300, 4, 390 * MS, AttemptStatus.SUCCESS) > 0.2);
   }
@@ -170,7 +167,7 @@
   /** Their latencies would pull the mean down. */
   @Test
   void quickFailuresDoNotKeepTheRateAtItsMaximum() {
-    EngineDriver driver = new EngineDriver(idempotentOnly()).withEndpoints(5);
+    EngineDriver driver = fiveEndpoints();
     double rejected = rejectedShare(driver, 800, 10, 2 * MS, AttemptStatus.ERROR);
     assertTrue(rejected > 0.3, "rejected " + rejected);
   }
