--- a/src/main/java/loadbalancer/proxy/AttemptRunner.java
+++ b/src/main/java/loadbalancer/proxy/AttemptRunner.java
@@ -102,7 +102,7 @@
 
   /**
    * Whether an attempt may still be written. Since it was decided a connection may have taken long
-   * to come up, and events may have happened that the engine is told of next: the endpoint drains,
+   * to come up, and events may be queued that the engine has not handled yet: the endpoint drains,
    * the request is completed, its time or its dedup window over, or the client has disconnected.
    */
   private boolean isWanted(ProxiedRequest request, long endpointId, long writeBy) {
--- a/src/main/java/loadbalancer/proxy/ProxiedRequest.java
+++ b/src/main/java/loadbalancer/proxy/ProxiedRequest.java
@@ -46,7 +46,7 @@
     return downstream;
   }
 
-  /** Its arrival, as the decision engine is told of it. */
+  /** The event that notifies the decision engine of its arrival. */
   RequestArrived arrival() {
     return new RequestArrived(
         id,
@@ -99,7 +99,7 @@
     attemptsInFlight--;
   }
 
-  /** Whether the decision engine has not been told of the end of some attempt. */
+  /** Whether the decision engine has not been notified of the end of some attempt. */
   boolean hasAttemptsInFlight() {
     return attemptsInFlight > 0;
   }
