Log the memory of buffers beside that which bodies are counted as

Cause: when slow writers of long requests stop the proxy, the log tells that direct memory is used up, and nothing tells whether bodies fill it or something that no budget counts.

Change: `summary` ends with buffers_kib, what Netty's allocator has taken, and bodies_kib, what is reserved for bodies. The budget, now MemoryBudget in `net`, is made where the components are, so that the log can read it.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -19,6 +19,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import loadbalancer.downstream.ClientConnections.State;
+import loadbalancer.net.MemoryBudget;
 
 /**
  * A client connection. It serves one request at a time and queues pipelined requests.
@@ -69,7 +70,7 @@
       RequestRouter router,
       ClientConnections connections,
       ListenerState listenerState,
-      BodyBudget bodyBudget) {
+      MemoryBudget bodyBudget) {
     this.channel = channel;
     this.handler = handler;
     this.router = router;
--- a/src/main/java/loadbalancer/downstream/DownstreamListener.java
+++ b/src/main/java/loadbalancer/downstream/DownstreamListener.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.decision.api.Settings;
 import loadbalancer.net.DescriptorBudget;
+import loadbalancer.net.MemoryBudget;
 import loadbalancer.net.MonotonicClock;
 import loadbalancer.net.PendingReads;
 import loadbalancer.telemetry.EventLoopLagMonitor;
@@ -32,7 +33,7 @@
   private final RequestRouter router;
   private final DescriptorBudget descriptors;
   private final ConnectionPool upstreamConnections;
-  private final BodyBudget bodyBudget;
+  private final MemoryBudget bodyBudget;
   private final ClientConnections connections = new ClientConnections();
   private final ListenerState state = new ListenerState();
   private AcceptRetryHandler acceptRetry;
@@ -44,8 +45,7 @@
    *
    * @param upstreamConnections pool whose idle connections are closed when new clients need their
    *     descriptors
-   * @param maxBodyBytes limit on the memory that request bodies and the heads of queued requests
-   *     take together
+   * @param bodyBudget memory for request bodies and the heads of queued requests
    */
   public DownstreamListener(
       RequestHandler handler,
@@ -54,12 +54,12 @@
       DescriptorBudget descriptors,
       ConnectionPool upstreamConnections,
       Settings settings,
-      long maxBodyBytes) {
+      MemoryBudget bodyBudget) {
     this.handler = handler;
     this.descriptors = descriptors;
     this.upstreamConnections = upstreamConnections;
     router = new RequestRouter(handler, new RequestParser(settings, clock, lagMonitor), state);
-    bodyBudget = new BodyBudget(maxBodyBytes);
+    this.bodyBudget = bodyBudget;
   }
 
   /** Binds to an address and starts to accept clients. May be called again if binding fails. */
--- a/src/main/java/loadbalancer/downstream/PipelinedRequests.java
+++ b/src/main/java/loadbalancer/downstream/PipelinedRequests.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.ArrayDeque;
 import java.util.Map;
+import loadbalancer.net.MemoryBudget;
 
 /**
  * The queued requests of one connection, which wait for the response to an earlier request. The
@@ -31,11 +32,11 @@
   record QueuedRequest(
       FullHttpRequest request, long arrivedAtNanos, long deadlineNanos, long headBytes) {}
 
-  private final BodyBudget budget;
+  private final MemoryBudget budget;
   private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>(1);
 
   /** Creates an empty queue. The heads of queued requests count against the budget. */
-  PipelinedRequests(BodyBudget budget) {
+  PipelinedRequests(MemoryBudget budget) {
     this.budget = budget;
   }
 
--- a/src/main/java/loadbalancer/downstream/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -16,10 +16,11 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.function.BooleanSupplier;
 import loadbalancer.http.HttpProtocol;
+import loadbalancer.net.MemoryBudget;
 
 /**
- * An aggregator of the parts of a request into a complete one. It counts the bodies of its
- * connection against the {@link BodyBudget}.
+ * An aggregator of the parts of a request into a complete one. It reserves the memory of the bodies
+ * of its connection.
  *
  * <p>The only response it sends itself is {@code 100 Continue}. A request that is too large is
  * passed on as one whose decoding failed, so that its error is sent in order with the other
@@ -27,9 +28,9 @@
  */
 final class RequestAggregator extends HttpObjectAggregator {
 
-  private final BodyBudget budget;
+  private final MemoryBudget budget;
   private final BooleanSupplier responsePending;
-  private long countedBytes;
+  private long reservedBytes;
 
   /**
    * Creates the aggregator of one connection.
@@ -37,7 +38,7 @@
    * @param responsePending returns whether an earlier request on the connection still has no
    *     response, which a {@code 100 Continue} would overtake
    */
-  RequestAggregator(BodyBudget budget, BooleanSupplier responsePending) {
+  RequestAggregator(MemoryBudget budget, BooleanSupplier responsePending) {
     super(HttpProtocol.MAX_BODY_BYTES);
     this.budget = budget;
     this.responsePending = responsePending;
@@ -66,29 +67,31 @@
 
   @Override
   protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
-    countReceived(content.readableBytes());
+    reserve(content.readableBytes());
     return super.beginAggregation(start, content);
   }
 
   @Override
   protected void aggregate(FullHttpMessage aggregated, HttpContent content) throws Exception {
-    countReceived(content.content().readableBytes());
+    reserve(content.content().readableBytes());
     super.aggregate(aggregated, content);
   }
 
-  private void countReceived(int bytes) {
-    countedBytes += bytes;
-    budget.addReceived(bytes);
+  private void reserve(int bytes) {
+    if (!budget.tryReserve(bytes)) {
+      throw new TooLongHttpContentException("the bodies of all requests exceed their memory");
+    }
+    reservedBytes += bytes;
   }
 
   /** Returns the bytes of a request body that is no longer in memory to the budget. */
   void release(long bytes) {
-    countedBytes -= bytes;
+    reservedBytes -= bytes;
     budget.release(bytes);
   }
 
   /** Returns the bytes of all request bodies of the connection to the budget. */
   void releaseAll() {
-    release(countedBytes);
+    release(reservedBytes);
   }
 }
--- a/src/main/java/loadbalancer/proxy/ProxyComponents.java
+++ b/src/main/java/loadbalancer/proxy/ProxyComponents.java
@@ -10,7 +10,9 @@
 import loadbalancer.downstream.DownstreamListener;
 import loadbalancer.gossip.GossipSender;
 import loadbalancer.net.DescriptorBudget;
+import loadbalancer.net.MemoryBudget;
 import loadbalancer.net.MonotonicClock;
+import loadbalancer.telemetry.BufferMemory;
 import loadbalancer.telemetry.EventLoopLagMonitor;
 import loadbalancer.telemetry.RequestTrace;
 import loadbalancer.upstream.ConnectionPool;
@@ -117,7 +119,10 @@
               settings.limits().connectTimeoutNanos(),
               upstreamIdleNanos,
               directory::isReady);
-      RequestDispatcher dispatcher = buildDispatcher(pool);
+      MemoryBudget bodyBudget = new MemoryBudget(maxBodyBytes);
+      RequestTrace trace =
+          new RequestTrace(directory::name, BufferMemory.ofPool(bodyBudget::usedBytes));
+      RequestDispatcher dispatcher = buildDispatcher(pool, trace);
       DownstreamListener listener =
           new DownstreamListener(
               dispatcher,
@@ -126,12 +131,11 @@
               descriptors,
               pool,
               settings,
-              maxBodyBytes);
+              bodyBudget);
       return new ProxyComponents(dispatcher, listener);
     }
 
-    private RequestDispatcher buildDispatcher(ConnectionPool pool) {
-      RequestTrace trace = new RequestTrace(directory::name);
+    private RequestDispatcher buildDispatcher(ConnectionPool pool, RequestTrace trace) {
       InFlightRequests requests = new InFlightRequests();
       EventQueue events = new EventQueue(loop);
       RequestCompleter completer = new RequestCompleter(clock, requests, events, trace);
--- a/src/main/java/loadbalancer/telemetry/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -36,6 +36,7 @@
   private static final AttemptRefusal[] REFUSALS = AttemptRefusal.values();
 
   private final LongFunction<String> endpointNames;
+  private final BufferMemory bufferMemory;
   private final int[] attemptCounts = new int[STATUSES.length];
   private final int[] refusalCounts = new int[REFUSALS.length];
   private long periodEndNanos;
@@ -52,8 +53,9 @@
    *
    * @param endpointNames returns the name of the endpoint with a given id
    */
-  public RequestTrace(LongFunction<String> endpointNames) {
+  public RequestTrace(LongFunction<String> endpointNames, BufferMemory bufferMemory) {
     this.endpointNames = endpointNames;
+    this.bufferMemory = bufferMemory;
   }
 
   /** Counts an attempt by the status with which it ended. */
@@ -123,7 +125,8 @@
     for (AttemptRefusal refusal : REFUSALS) {
       appendCount(line, " unwritten_", refusal, refusalCounts[refusal.ordinal()]);
     }
-    log(line.append(" max_loop_lag_ms=").append(toMillis(maxLagNanos)));
+    line.append(" max_loop_lag_ms=").append(toMillis(maxLagNanos));
+    log(line.append(' ').append(bufferMemory));
   }
 
   private static void appendCount(StringBuilder line, String prefix, Enum<?> kind, int count) {
--- a/src/test/java/loadbalancer/downstream/ClientConnectionFailureTest.java
+++ b/src/test/java/loadbalancer/downstream/ClientConnectionFailureTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import loadbalancer.decision.api.Settings;
+import loadbalancer.net.MemoryBudget;
 import loadbalancer.net.MonotonicClock;
 import loadbalancer.telemetry.EventLoopLagMonitor;
 import loadbalancer.testing.ProxyFixture;
@@ -41,7 +42,7 @@
             router,
             new ClientConnections(),
             listenerState,
-            new BodyBudget(Long.MAX_VALUE))
+            new MemoryBudget(Long.MAX_VALUE))
         .addHandlers();
   }
 
--- a/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -46,7 +46,9 @@
 
   private final List<String> lines = new ArrayList<>();
   private final Logger logger = Logger.getLogger(RequestTrace.class.getName());
-  private final RequestTrace trace = new RequestTrace(endpointId -> "s-" + endpointId);
+  private final RequestTrace trace =
+      new RequestTrace(
+          endpointId -> "s-" + endpointId, new BufferMemory(() -> 6 << 20, () -> 300 << 10));
   private final Handler handler =
       new Handler() {
         @Override
@@ -117,7 +119,8 @@
     assertEquals(
         List.of(
             "summary served=2 late=0 rejected_at_once=1 rejected_later=0 failed=0"
-                + " attempts_success=1 attempts_rejected=1 max_loop_lag_ms=3"),
+                + " attempts_success=1 attempts_rejected=1 max_loop_lag_ms=3"
+                + " buffers_kib=6144 bodies_kib=300"),
         lines);
   }
 
