Copy bodies out of read buffers, so that slow writers cannot use up the memory

Cause: aggregators keep the buffers into which a body was read (RequestAggregator, ResponseAggregator; Netty appends slices of them). A read that fills its 2 KiB makes the next buffers 32 or 64 KiB large, and a body in pieces of up to 4 KB holds one for each piece. The budget counted readable bytes, and for responses there was none. Once direct memory is gone each read blocks the event loop for half a second in java.nio.Bits.reserveMemory before it fails.

Evidence: buffers_kib=24064 of 24576 beside bodies_kib=3850 in the log; six of six stack samples 0.7 s apart in Thread.sleep below Bits.reserveMemory; no client got 413, so the budget was never reached; the same requests written at once are all served.

Change: BodyAggregator collects a body in a BodyBuffer, which copies each piece into blocks of 8 KiB or less, reserved by their size until they are freed, for requests and responses. Over the budget a request gets its 413 in order also when it is pipelined; it used to get nothing. Options of sockets move to Bootstraps, the shares of memory to ResourceLimits.

Before: BodyMemoryIT failed, with a closed connection for requests in pieces and status 500 for responses in pieces, both with OutOfMemoryError in the log. BodyAggregatorTest is new with the class. LargeFleetIT starts its process by PackagedProxy now; its checks are the same.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -55,9 +55,6 @@
   /** The request that the handler has accepted and not yet responded to; null for none. */
   private DownstreamRequest currentRequest;
 
-  /** Size of the body of the request being served, in bytes. */
-  private int currentBodyBytes;
-
   /** True if the connection may be kept alive after the request being served. */
   private boolean keepAlive;
 
@@ -179,7 +176,6 @@
   public void channelInactive(ChannelHandlerContext context) {
     connections.remove(this);
     pipelined.releaseAll();
-    aggregator.releaseAll();
     notifyDisconnected();
   }
 
@@ -200,8 +196,8 @@
     if (cause instanceof IOException) {
       context.close();
     } else if (!input.isDiscarded()) {
-      // For example, the body budget is exceeded, or no memory is left for the read buffer. Earlier
-      // requests still get their responses.
+      // For example, no memory is left for the read buffer. Earlier requests still get their
+      // responses.
       input.discard();
       if (!responsePending) {
         responsePending = true;
@@ -248,7 +244,6 @@
   private void serve(FullHttpRequest request, long arrivedAtNanos) {
     responsePending = true;
     input.requestCompleted();
-    currentBodyBytes = request.content().readableBytes();
     connections.setState(this, State.SERVING);
     // Even the response to HEAD has a body. A client would take that for the start of the next
     // response, so the connection is closed after it.
@@ -327,7 +322,6 @@
 
   private void serveNext() {
     responsePending = false;
-    aggregator.release(currentBodyBytes);
     PipelinedRequests.QueuedRequest next = pipelined.poll();
     if (next != null) {
       serve(next.request(), next.arrivedAtNanos());
--- a/src/main/java/loadbalancer/downstream/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -1,46 +1,36 @@
 package loadbalancer.downstream;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPipeline;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpMessage;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.function.BooleanSupplier;
+import loadbalancer.http.BodyAggregator;
 import loadbalancer.http.HttpProtocol;
 import loadbalancer.net.MemoryBudget;
 
 /**
- * An aggregator of the parts of a request into a complete one. It reserves the memory of the bodies
- * of its connection.
+ * An aggregator of the parts of a request into a complete one.
  *
- * <p>The only response it sends itself is {@code 100 Continue}. A request that is too large is
- * passed on as one whose decoding failed, so that its error is sent in order with the other
- * responses.
+ * <p>The only response it sends itself is {@code 100 Continue}. The error for a request that is too
+ * large is sent in order with the other responses.
  */
-final class RequestAggregator extends HttpObjectAggregator {
+final class RequestAggregator extends BodyAggregator {
 
-  private final MemoryBudget budget;
   private final BooleanSupplier responsePending;
-  private long reservedBytes;
 
   /**
    * Creates the aggregator of one connection.
    *
+   * @param bodyBudget memory for request bodies
    * @param responsePending returns whether an earlier request on the connection still has no
    *     response, which a {@code 100 Continue} would overtake
    */
-  RequestAggregator(MemoryBudget budget, BooleanSupplier responsePending) {
-    super(HttpProtocol.MAX_BODY_BYTES);
-    this.budget = budget;
+  RequestAggregator(MemoryBudget bodyBudget, BooleanSupplier responsePending) {
+    super(bodyBudget);
     this.responsePending = responsePending;
   }
 
@@ -57,41 +47,7 @@
   }
 
   @Override
-  protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    FullHttpRequest failed =
-        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, HttpProtocol.API_PATH);
-    failed.setDecoderResult(
-        DecoderResult.failure(new TooLongHttpContentException("request body exceeds its limit")));
-    context.fireChannelRead(failed);
-  }
-
-  @Override
-  protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf content) throws Exception {
-    reserve(content.readableBytes());
-    return super.beginAggregation(start, content);
-  }
-
-  @Override
-  protected void aggregate(FullHttpMessage aggregated, HttpContent content) throws Exception {
-    reserve(content.content().readableBytes());
-    super.aggregate(aggregated, content);
-  }
-
-  private void reserve(int bytes) {
-    if (!budget.tryReserve(bytes)) {
-      throw new TooLongHttpContentException("the bodies of all requests exceed their memory");
-    }
-    reservedBytes += bytes;
-  }
-
-  /** Returns the bytes of a request body that is no longer in memory to the budget. */
-  void release(long bytes) {
-    reservedBytes -= bytes;
-    budget.release(bytes);
-  }
-
-  /** Returns the bytes of all request bodies of the connection to the budget. */
-  void releaseAll() {
-    release(reservedBytes);
+  protected FullHttpMessage newMessageWithoutBody() {
+    return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, HttpProtocol.API_PATH);
   }
 }
--- /dev/null
+++ b/src/main/java/loadbalancer/http/BodyBuffer.java
@@ -0,0 +1,99 @@
+package loadbalancer.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import loadbalancer.net.MemoryBudget;
+
+/**
+ * The body of a message that arrives in pieces. It copies the pieces into blocks of its own, so
+ * that the buffers into which they were read, which may be many times larger, are free again. The
+ * memory of the blocks stays reserved until the buffer is deallocated.
+ */
+final class BodyBuffer extends CompositeByteBuf {
+
+  /** The size of a page of the pooled allocator: any free page fits, however scattered they are. */
+  private static final int MAX_BLOCK_BYTES = 8 * 1024;
+
+  private static final int MIN_BLOCK_BYTES = 64;
+  private static final int MAX_BLOCKS = HttpProtocol.MAX_BODY_BYTES / MAX_BLOCK_BYTES + 1;
+
+  private final MemoryBudget budget;
+  private final long expectedBytes;
+  private long reservedBytes;
+  private boolean hasFailed;
+
+  /**
+   * Creates an empty body.
+   *
+   * @param budget memory for bodies
+   * @param expectedBytes expected length of the body
+   */
+  BodyBuffer(ByteBufAllocator allocator, MemoryBudget budget, long expectedBytes) {
+    super(allocator, true, MAX_BLOCKS);
+    this.budget = budget;
+    this.expectedBytes = expectedBytes;
+  }
+
+  /**
+   * Appends a copy of a piece, and releases the piece. Netty's aggregators add pieces by this.
+   *
+   * @throws TooLongHttpContentException if too little memory is left, now or for an earlier piece;
+   *     the body then takes none
+   */
+  @Override
+  public CompositeByteBuf addComponent(boolean increaseWriterIndex, ByteBuf piece) {
+    try {
+      append(piece);
+    } finally {
+      piece.release();
+    }
+    return this;
+  }
+
+  private void append(ByteBuf piece) {
+    while (piece.isReadable()) {
+      if (!isWritable()) {
+        addBlock(nextBlockBytes(piece.readableBytes()));
+      }
+      writeBytes(piece, Math.min(piece.readableBytes(), writableBytes()));
+    }
+  }
+
+  /**
+   * Returns the size of the next block, a power of two as the allocator's sizes are: enough for the
+   * rest of the body if it is short.
+   */
+  private int nextBlockBytes(int pieceBytes) {
+    long missingBytes = Math.max(pieceBytes, expectedBytes - writerIndex());
+    if (missingBytes >= MAX_BLOCK_BYTES) {
+      return MAX_BLOCK_BYTES;
+    }
+    return Integer.highestOneBit(2 * Math.max(MIN_BLOCK_BYTES, (int) missingBytes) - 1);
+  }
+
+  /** Adds a writable block, or frees all blocks if there is no memory for it. */
+  private void addBlock(int bytes) {
+    if (hasFailed || !budget.tryReserve(bytes)) {
+      hasFailed = true;
+      clear();
+      removeComponents(0, numComponents());
+      releaseReservation();
+      throw new TooLongHttpContentException("no memory is left for the body");
+    }
+    reservedBytes += bytes;
+    capacity(capacity() + bytes);
+  }
+
+  private void releaseReservation() {
+    budget.release(reservedBytes);
+    reservedBytes = 0;
+  }
+
+  @Override
+  protected void deallocate() {
+    super.deallocate();
+    releaseReservation();
+  }
+}
--- a/src/main/java/loadbalancer/net/MemoryBudget.java
+++ b/src/main/java/loadbalancer/net/MemoryBudget.java
@@ -1,19 +1,33 @@
 package loadbalancer.net;
 
-/** A limit in bytes on memory that is reserved and released. Confined to the event loop. */
+/**
+ * A limit in bytes on memory that is reserved and released. A budget may be a share of another one;
+ * what is reserved in it then counts in both. Confined to the event loop.
+ */
 public final class MemoryBudget {
 
+  private final MemoryBudget whole;
   private final long maxBytes;
   private long usedBytes;
 
   /** Creates a budget of which nothing is reserved. */
   public MemoryBudget(long maxBytes) {
+    this(null, maxBytes);
+  }
+
+  private MemoryBudget(MemoryBudget whole, long maxBytes) {
+    this.whole = whole;
     this.maxBytes = maxBytes;
   }
 
+  /** Returns a new share of this budget, with a limit of its own. */
+  public MemoryBudget share(long maxShareBytes) {
+    return new MemoryBudget(this, maxShareBytes);
+  }
+
   /** Reserves memory and returns true, or returns false if the budget has too little left. */
   public boolean tryReserve(long bytes) {
-    if (bytes > maxBytes - usedBytes) {
+    if (bytes > maxBytes - usedBytes || (whole != null && !whole.tryReserve(bytes))) {
       return false;
     }
     usedBytes += bytes;
@@ -23,6 +37,9 @@
   /** Gives reserved memory back. */
   public void release(long bytes) {
     usedBytes -= bytes;
+    if (whole != null) {
+      whole.release(bytes);
+    }
   }
 
   /** Returns how much memory is reserved. */
--- a/src/main/java/loadbalancer/proxy/ProxyComponents.java
+++ b/src/main/java/loadbalancer/proxy/ProxyComponents.java
@@ -50,8 +50,7 @@
     private Bootstrap upstreams;
     private long upstreamIdleNanos;
     private LoadReportReader loadReports = new LoadReportReader(false);
-    private int maxDescriptors = Integer.MAX_VALUE;
-    private long maxBodyBytes = Long.MAX_VALUE;
+    private ResourceLimits limits = ResourceLimits.UNLIMITED;
     private EndpointSource endpointSource = NO_ENDPOINT_SOURCE;
     private GossipSender gossip = NO_GOSSIP;
 
@@ -85,16 +84,9 @@
       return this;
     }
 
-    /**
-     * Limits the resources that the proxy uses.
-     *
-     * @param maxDescriptors maximum number of file descriptors of the process
-     * @param maxBodyBytes limit on the memory that request bodies and the heads of queued requests
-     *     take together
-     */
-    Builder limits(int maxDescriptors, long maxBodyBytes) {
-      this.maxDescriptors = maxDescriptors;
-      this.maxBodyBytes = maxBodyBytes;
+    /** Limits the resources that the proxy uses. */
+    Builder limits(ResourceLimits limits) {
+      this.limits = limits;
       return this;
     }
 
@@ -111,15 +103,16 @@
     }
 
     ProxyComponents build() {
-      DescriptorBudget descriptors = new DescriptorBudget(maxDescriptors);
+      DescriptorBudget descriptors = new DescriptorBudget(limits.maxDescriptors());
+      MemoryBudget bodyBudget = new MemoryBudget(limits.maxBodyBytes());
       ConnectionPool pool =
           new ConnectionPool(
               upstreams,
               descriptors,
               settings.limits().connectTimeoutNanos(),
               upstreamIdleNanos,
-              directory::isReady);
-      MemoryBudget bodyBudget = new MemoryBudget(maxBodyBytes);
+              directory::isReady,
+              bodyBudget);
       RequestTrace trace =
           new RequestTrace(directory::name, BufferMemory.ofPool(bodyBudget::usedBytes));
       RequestDispatcher dispatcher = buildDispatcher(pool, trace);
@@ -131,7 +124,7 @@
               descriptors,
               pool,
               settings,
-              bodyBudget);
+              bodyBudget.share(limits.maxRequestBytes()));
       return new ProxyComponents(dispatcher, listener);
     }
 
--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -1,9 +1,7 @@
 package loadbalancer.proxy;
 
 import io.netty.bootstrap.Bootstrap;
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -17,11 +15,9 @@
 import loadbalancer.decision.api.DecisionEngine;
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.downstream.DownstreamListener;
-import loadbalancer.downstream.ListenerChannel;
 import loadbalancer.gossip.GossipChannel;
 import loadbalancer.net.RoundingIoHandler;
 import loadbalancer.telemetry.LogValues;
-import loadbalancer.upstream.UpstreamChannel;
 
 /**
  * One proxy process, from its start to its shutdown: owns the event loop and creates the components
@@ -31,18 +27,6 @@
 
   private static final Logger LOG = Logger.getLogger(ProxyServer.class.getName());
 
-  /**
-   * Size of the kernel's queue of pending connections; many arrive at once when other instances
-   * restart.
-   */
-  private static final int ACCEPT_BACKLOG = 1024;
-
-  /**
-   * Request bodies may take the memory of the process divided by this: half of what {@code
-   * deploy/run.sh} assigns to direct buffers.
-   */
-  private static final int BODY_MEMORY_DIVISOR = 16;
-
   /**
    * Maximum wait for discovery at the start. After it, the proxy serves with the list in the
    * configuration: an outdated list is better than none.
@@ -119,7 +103,7 @@
   private void createComponents(LongFunction<DecisionEngine> engineFactory) {
     ProxyComponents.Builder builder =
         new ProxyComponents.Builder(loop, config.settings(), engineFactory);
-    Bootstrap upstreams = upstreamBootstrap(group);
+    Bootstrap upstreams = Bootstraps.forUpstreams(group);
     gossip =
         new GossipChannel(
             config.settings().instanceIndex(),
@@ -137,7 +121,7 @@
     components =
         builder
             .upstreams(upstreams, config.idleTimeoutNanos(), config.hasLoadReports())
-            .limits(config.maxDescriptors(), config.memoryBytes() / BODY_MEMORY_DIVISOR)
+            .limits(ResourceLimits.of(config))
             .endpointSource(discovery.source())
             .gossip(gossip)
             .build();
@@ -147,28 +131,6 @@
     discovery.start(components.dispatcher());
   }
 
-  /**
-   * Creates the bootstrap that accepts clients. Without TCP_NODELAY the kernel could hold back a
-   * small response and discard it if the connection is reset.
-   */
-  static ServerBootstrap clientBootstrap(EventLoopGroup group) {
-    return new ServerBootstrap()
-        .group(group)
-        .channel(ListenerChannel.class)
-        .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
-        .option(ChannelOption.SO_REUSEADDR, true)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-  }
-
-  /** Creates the bootstrap that connects to upstreams and to discovery. */
-  static Bootstrap upstreamBootstrap(EventLoopGroup group) {
-    return new Bootstrap()
-        .group(group)
-        .channelFactory(UpstreamChannel::new)
-        .option(ChannelOption.TCP_NODELAY, true);
-  }
-
   /** Starts to accept clients and messages of other instances. */
   public void listen() throws IOException {
     try {
@@ -199,7 +161,7 @@
 
   private Channel bind() {
     return listener()
-        .listen(clientBootstrap(group), config.listenAddress())
+        .listen(Bootstraps.forClients(group), config.listenAddress())
         .syncUninterruptibly()
         .channel();
   }
--- a/src/main/java/loadbalancer/upstream/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -17,6 +17,7 @@
 import loadbalancer.decision.api.AttemptStatus;
 import loadbalancer.net.ConnectFailures;
 import loadbalancer.net.DescriptorBudget;
+import loadbalancer.net.MemoryBudget;
 
 /**
  * A pool of connections to upstream endpoints. Each call is sent on a reusable idle connection if
@@ -46,13 +47,15 @@
    * @param connectTimeoutNanos the maximum time to establish a connection
    * @param upstreamIdleNanos the idle time after which upstreams close connections
    * @param isEndpointReady tests whether the endpoint with the given id accepts new requests
+   * @param bodyBudget memory for response bodies
    */
   public ConnectionPool(
       Bootstrap bootstrap,
       DescriptorBudget descriptors,
       long connectTimeoutNanos,
       long upstreamIdleNanos,
-      LongPredicate isEndpointReady) {
+      LongPredicate isEndpointReady,
+      MemoryBudget bodyBudget) {
     this.descriptors = descriptors;
     this.connectTimeoutNanos = connectTimeoutNanos;
     idleConnections = new IdleConnections(upstreamIdleNanos);
@@ -66,7 +69,8 @@
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    new UpstreamConnection(channel, idleConnections, isEndpointReady).addHandlers();
+                    new UpstreamConnection(channel, idleConnections, isEndpointReady, bodyBudget)
+                        .addHandlers();
                   }
                 });
     loop.scheduleWithFixedDelay(
--- a/src/main/java/loadbalancer/upstream/ResponseAggregator.java
+++ b/src/main/java/loadbalancer/upstream/ResponseAggregator.java
@@ -1,34 +1,26 @@
 package loadbalancer.upstream;
 
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
-import loadbalancer.http.HttpProtocol;
+import loadbalancer.http.BodyAggregator;
+import loadbalancer.net.MemoryBudget;
 
-/**
- * Aggregates the parts of a response into a full response. Replaces a response whose body is too
- * large by a failed one without a body.
- */
-final class ResponseAggregator extends HttpObjectAggregator {
+/** An aggregator of the parts of a response into a complete one. */
+final class ResponseAggregator extends BodyAggregator {
 
-  ResponseAggregator() {
-    super(HttpProtocol.MAX_BODY_BYTES);
+  /**
+   * Creates the aggregator of one connection.
+   *
+   * @param bodyBudget memory for response bodies
+   */
+  ResponseAggregator(MemoryBudget bodyBudget) {
+    super(bodyBudget);
   }
 
   @Override
-  protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    FullHttpResponse failed =
-        new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
-    failed.setDecoderResult(
-        DecoderResult.failure(
-            new TooLongHttpContentException(
-                "response body larger than " + HttpProtocol.MAX_BODY_BYTES + " bytes")));
-    context.fireChannelRead(failed);
+  protected FullHttpMessage newMessageWithoutBody() {
+    return new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
   }
 }
--- a/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -16,6 +16,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import loadbalancer.decision.api.AttemptStatus;
+import loadbalancer.net.MemoryBudget;
 
 /**
  * One connection to an endpoint and the call on it. This is the last handler of the connection's
@@ -36,6 +37,7 @@
   private final IdleConnections idleConnections;
   private final LongPredicate isEndpointReady;
   private final ResponseDecoder decoder = new ResponseDecoder();
+  private final ResponseAggregator aggregator;
   private final ResponseStartCheck startCheck = new ResponseStartCheck(this, decoder);
 
   /** The call whose response is awaited; null on an idle connection. */
@@ -54,11 +56,21 @@
 
   private int informationalResponses;
 
+  /**
+   * Creates the connection of a channel.
+   *
+   * @param isEndpointReady tests whether the endpoint with the given id accepts new requests
+   * @param bodyBudget memory for response bodies
+   */
   UpstreamConnection(
-      Channel channel, IdleConnections idleConnections, LongPredicate isEndpointReady) {
+      Channel channel,
+      IdleConnections idleConnections,
+      LongPredicate isEndpointReady,
+      MemoryBudget bodyBudget) {
     this.channel = channel;
     this.idleConnections = idleConnections;
     this.isEndpointReady = isEndpointReady;
+    aggregator = new ResponseAggregator(bodyBudget);
   }
 
   /** Adds the handlers to the pipeline of the channel. */
@@ -70,7 +82,7 @@
             new HttpRequestEncoder(),
             decoder,
             new ResponseFramingCheck(),
-            new ResponseAggregator(),
+            aggregator,
             this);
   }
 
--- /dev/null
+++ b/src/test/java/loadbalancer/http/BodyAggregatorTest.java
@@ -0,0 +1,131 @@
+package loadbalancer.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.PrematureChannelClosureException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpMessage;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import loadbalancer.net.MemoryBudget;
+import org.junit.jupiter.api.Test;
+
+class BodyAggregatorTest {
+
+  private static final int READ_BUFFER_BYTES = 64 * 1024;
+  private static final long UNLIMITED = Long.MAX_VALUE;
+
+  private final List<ByteBuf> readBuffers = new ArrayList<>();
+
+  private static EmbeddedChannel connection(MemoryBudget budget) {
+    return new EmbeddedChannel(
+        new HttpRequestDecoder(),
+        new BodyAggregator(budget) {
+          @Override
+          protected FullHttpMessage newMessageWithoutBody() {
+            return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+          }
+        });
+  }
+
+  /** Delivers a text in a read buffer that is much larger. */
+  private void receive(EmbeddedChannel connection, String text) {
+    ByteBuf buffer = Unpooled.buffer(READ_BUFFER_BYTES);
+    buffer.writeCharSequence(text, StandardCharsets.ISO_8859_1);
+    readBuffers.add(buffer);
+    connection.writeInbound(buffer);
+  }
+
+  private void assertReadBuffersFree() {
+    for (ByteBuf buffer : readBuffers) {
+      assertEquals(0, buffer.refCnt());
+    }
+  }
+
+  private static String head(String framing) {
+    return "POST / HTTP/1.1\r\n" + framing + "\r\n\r\n";
+  }
+
+  /** Guards against bodies in pieces that keep the read buffers, and so many times their length. */
+  @Test
+  void holdsNoMoreMemoryThanABodyInPiecesNeeds() {
+    MemoryBudget budget = new MemoryBudget(UNLIMITED);
+    EmbeddedChannel connection = connection(budget);
+    receive(connection, head("Content-Length: 60000"));
+    StringBuilder body = new StringBuilder();
+    for (int i = 0; i < 100; i++) {
+      String piece = (char) ('0' + i % 10) + "x".repeat(599);
+      receive(connection, piece);
+      body.append(piece);
+      assertReadBuffersFree();
+      assertTrue(budget.usedBytes() <= body.length() + 8192, "reserved " + budget.usedBytes());
+    }
+    FullHttpRequest request = connection.readInbound();
+    assertEquals(body.toString(), request.content().toString(StandardCharsets.ISO_8859_1));
+    assertTrue(budget.usedBytes() >= body.length(), "reserved while the body is in use");
+    request.release();
+    assertEquals(0, budget.usedBytes());
+  }
+
+  @Test
+  void reservesLittleForAShortBody() {
+    MemoryBudget budget = new MemoryBudget(UNLIMITED);
+    EmbeddedChannel connection = connection(budget);
+    receive(connection, head("Content-Length: 212") + "x".repeat(212));
+    FullHttpRequest request = connection.readInbound();
+    assertEquals(256, budget.usedBytes());
+    request.release();
+    assertEquals(0, budget.usedBytes());
+  }
+
+  @Test
+  void joinsTheChunksOfABody() {
+    MemoryBudget budget = new MemoryBudget(UNLIMITED);
+    EmbeddedChannel connection = connection(budget);
+    receive(connection, head("Transfer-Encoding: chunked") + "3\r\nabc\r\n");
+    receive(connection, "2000\r\n" + "d".repeat(0x2000) + "\r\n0\r\n\r\n");
+    FullHttpRequest request = connection.readInbound();
+    assertEquals(
+        "abc" + "d".repeat(0x2000), request.content().toString(StandardCharsets.ISO_8859_1));
+    request.release();
+    assertEquals(0, budget.usedBytes());
+  }
+
+  @Test
+  void failsAMessageForWhichNoMemoryIsLeft() {
+    MemoryBudget budget = new MemoryBudget(32 * 1024);
+    EmbeddedChannel connection = connection(budget);
+    receive(connection, head("Content-Length: 60000"));
+    for (int i = 0; i < 40; i++) {
+      receive(connection, "x".repeat(1000));
+    }
+    FullHttpRequest request = connection.readInbound();
+    assertFalse(request.decoderResult().isSuccess());
+    assertFalse(request.content().isReadable());
+    request.release();
+    assertEquals(0, budget.usedBytes());
+    assertReadBuffersFree();
+    assertThrows(PrematureChannelClosureException.class, connection::finishAndReleaseAll);
+  }
+
+  @Test
+  void releasesThePartOfABodyWhoseConnectionCloses() {
+    MemoryBudget budget = new MemoryBudget(UNLIMITED);
+    EmbeddedChannel connection = connection(budget);
+    receive(connection, head("Content-Length: 60000") + "x".repeat(1000));
+    assertTrue(budget.usedBytes() > 0);
+    assertThrows(PrematureChannelClosureException.class, connection::finishAndReleaseAll);
+    assertEquals(0, budget.usedBytes());
+  }
+}
--- a/src/test/java/loadbalancer/proxy/BrokenConnectionTest.java
+++ b/src/test/java/loadbalancer/proxy/BrokenConnectionTest.java
@@ -130,11 +130,11 @@
   void sendsSmallWritesWithoutDelay() throws Exception {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      ServerBootstrap clients = ProxyServer.clientBootstrap(group);
+      ServerBootstrap clients = Bootstraps.forClients(group);
       assertEquals(
           true, clients.config().childOptions().get(ChannelOption.TCP_NODELAY), "to clients");
       Bootstrap upstreams =
-          ProxyServer.upstreamBootstrap(group).handler(new ChannelInboundHandlerAdapter());
+          Bootstraps.forUpstreams(group).handler(new ChannelInboundHandlerAdapter());
       Channel channel = upstreams.connect(listener.getLocalSocketAddress()).sync().channel();
       assertEquals(
           true,
--- a/src/test/java/loadbalancer/proxy/LargeFleetIT.java
+++ b/src/test/java/loadbalancer/proxy/LargeFleetIT.java
@@ -5,12 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.File;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -18,14 +15,12 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import loadbalancer.testing.DiscoveryMessages;
 import loadbalancer.testing.FakeServer;
+import loadbalancer.testing.PackagedProxy;
 import loadbalancer.testing.ProxyFixture;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -38,50 +33,9 @@
   private static final int FLEET_SIZE = 1024;
 
   @TempDir Path folder;
-  private Process process;
 
-  @AfterEach
-  void destroyProcess() {
-    if (process != null) {
-      process.destroyForcibly();
-    }
-  }
-
-  private String log() throws IOException {
-    return Files.readString(folder.resolve("err"));
-  }
-
-  /** Starts the program by {@code deploy/run.sh}, and returns the port on which it listens. */
-  private int start(String config, int descriptors) throws IOException, InterruptedException {
-    Files.writeString(folder.resolve("config"), config);
-    File err = folder.resolve("err").toFile();
-    ProcessBuilder builder =
-        new ProcessBuilder("/bin/sh", "-c", "ulimit -n " + descriptors + "; . deploy/run.sh")
-            .redirectOutput(ProcessBuilder.Redirect.DISCARD)
-            .redirectError(err);
-    builder.environment().put("ROUTER_CONFIG", folder.resolve("config").toString());
-    process = builder.start();
-    while (true) {
-      Matcher listening =
-          Pattern.compile("listening address=/127.0.0.1:(\\d+) endpoints=(\\d+)").matcher(log());
-      if (listening.find()) {
-        return Integer.parseInt(listening.group(1));
-      }
-      assertTrue(process.isAlive(), log());
-      Thread.sleep(10);
-    }
-  }
-
-  private static String exchange(Socket client, String text) throws IOException {
-    client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
-    client.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-    return FakeServer.MessageReader.read(client.getInputStream());
-  }
-
-  private static String exchangeOnNewConnection(int port, String id) throws IOException {
-    try (Socket client = new Socket(InetAddress.getLoopbackAddress(), port)) {
-      return exchange(client, ProxyFixture.get(id, "Cookie: sid=" + id + "\r\n"));
-    }
+  private static String exchangeOnNewConnection(PackagedProxy proxy, String id) throws IOException {
+    return proxy.exchange(ProxyFixture.get(id, "Cookie: sid=" + id + "\r\n"));
   }
 
   /** Returns a list of many endpoints, of which only one is ready. */
@@ -139,18 +93,19 @@
                   peers())
               .replace("\"memory_mb\":192", "\"memory_mb\":32")
               .replace("\"me\":0", "\"me\":" + (FLEET_SIZE - 1) + ",\"group-size\":" + FLEET_SIZE);
-      int port = start(config, FLEET_SIZE);
-      assertTrue(log().contains(" endpoints=" + FLEET_SIZE + " "), log());
-      assertTrue(
-          exchangeOnNewConnection(port, "t1").endsWith("\r\n\r\nlast"),
-          "the last entry of the list");
-      listChanged.countDown();
-      for (int i = 0; !exchangeOnNewConnection(port, "u" + i).endsWith("\r\n\r\nfirst"); i++) {
-        Thread.sleep(10);
+      try (PackagedProxy proxy = new PackagedProxy(folder, config, FLEET_SIZE)) {
+        assertTrue(proxy.log().contains(" endpoints=" + FLEET_SIZE + " "), proxy.log());
+        assertTrue(
+            exchangeOnNewConnection(proxy, "t1").endsWith("\r\n\r\nlast"),
+            "the last entry of the list");
+        listChanged.countDown();
+        for (int i = 0; !exchangeOnNewConnection(proxy, "u" + i).endsWith("\r\n\r\nfirst"); i++) {
+          Thread.sleep(10);
+        }
+        assertEquals(1, discovery.connections.size(), "the watch is still open: " + proxy.log());
+        assertFalse(proxy.log().contains("OutOfMemory"), proxy.log());
+        assertTrue(proxy.process().isAlive(), proxy.log());
       }
-      assertEquals(1, discovery.connections.size(), "the watch is still open: " + log());
-      assertFalse(log().contains("OutOfMemory"), log());
-      assertTrue(process.isAlive(), log());
     }
   }
 
@@ -188,11 +143,11 @@
   /**
    * Sends requests to both known endpoints until one of the requests waits at the slow endpoint.
    */
-  private static List<Socket> openRequests(int port, FakeServer slow)
+  private static List<Socket> openRequests(PackagedProxy proxy, FakeServer slow)
       throws IOException, InterruptedException {
     List<Socket> open = new ArrayList<>();
     while (slow.requests.isEmpty()) {
-      Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
+      Socket client = proxy.connect();
       String request =
           ProxyFixture.get("open" + open.size(), "Cookie: sid=o" + open.size() + "\r\n");
       client.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
@@ -206,18 +161,18 @@
    * Opens more connections than the proxy has descriptors, and gets a response on each. They stay
    * open on this side, so the proxy has to close some.
    */
-  private static void connectIdle(int port, List<Socket> idleClients) throws IOException {
+  private static void connectIdle(PackagedProxy proxy, List<Socket> idleClients)
+      throws IOException {
     for (int i = 0; i < 500; i++) {
-      Socket client = new Socket(InetAddress.getLoopbackAddress(), port);
+      Socket client = proxy.connect();
       idleClients.add(client);
-      String response = exchange(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+      String response = PackagedProxy.exchange(client, "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
       assertNotNull(response, "a new client gets its response");
     }
   }
 
   private static void assertResponses(List<Socket> open) throws IOException {
     for (Socket client : open) {
-      client.setSoTimeout(ProxyFixture.TIMEOUT_SECONDS * 1000);
       String response = FakeServer.MessageReader.read(client.getInputStream());
       assertTrue(
           response.endsWith("slow")
@@ -228,7 +183,7 @@
     }
   }
 
-  private void assertLowCpuUse() throws InterruptedException {
+  private static void assertLowCpuUse(Process process) throws InterruptedException {
     Duration before = process.info().totalCpuDuration().orElseThrow();
     Thread.sleep(2000); // The CPU time is measured over this period.
     long usedMillis = process.info().totalCpuDuration().orElseThrow().minus(before).toMillis();
@@ -254,26 +209,25 @@
               true,
               ProxyFixture.endpointJson("s-slow", slow.address(), "ready"),
               ProxyFixture.endpointJson("s-known", known.address(), "ready"));
-      int port =
-          start(ProxyFixture.configText(discovery.address(), members, "pushed", 200, 256, ""), 256);
-      List<Socket> open = openRequests(port, slow);
-      connectIdle(port, idleClients);
-      assertTrue(
-          exchangeOnNewConnection(port, "while-down").startsWith("HTTP/1.1 "),
-          "a new request gets a final response");
-      assertLowCpuUse();
-      isUp.set(true);
-      while (!log().contains("discovery_recovered")) {
-        Thread.sleep(10);
-      }
-      while (listedUpstream.requests.isEmpty()) {
-        exchangeOnNewConnection(port, "when-back" + System.nanoTime());
-        Thread.sleep(10);
+      String config = ProxyFixture.configText(discovery.address(), members, "pushed", 200, 256, "");
+      try (PackagedProxy proxy = new PackagedProxy(folder, config, 256)) {
+        List<Socket> open = openRequests(proxy, slow);
+        connectIdle(proxy, idleClients);
+        assertTrue(
+            exchangeOnNewConnection(proxy, "while-down").startsWith("HTTP/1.1 "),
+            "a new request gets a final response");
+        assertLowCpuUse(proxy.process());
+        isUp.set(true);
+        proxy.awaitLog("discovery_recovered");
+        while (listedUpstream.requests.isEmpty()) {
+          exchangeOnNewConnection(proxy, "when-back" + System.nanoTime());
+          Thread.sleep(10);
+        }
+        responseReleased.countDown();
+        assertResponses(open);
+        assertTrue(proxy.process().isAlive(), proxy.log());
+        assertFalse(proxy.log().contains("Too many open files"), proxy.log());
       }
-      responseReleased.countDown();
-      assertResponses(open);
-      assertTrue(process.isAlive(), log());
-      assertFalse(log().contains("Too many open files"), log());
     } finally {
       for (Socket client : idleClients) {
         client.close();
