Fail at once, not after half a second, when direct memory is used up

Cause: Netty takes chunks by ByteBuffer.allocateDirect, since it may not use the constructor that needs no cleaner. There java.nio.Bits.reserveMemory collects garbage and sleeps 0.5 s in all before it throws, on the event loop.

Change: deploy/run.sh opens java.nio to Netty, which then takes the memory itself up to io.netty.maxDirectMemory, the limit as before, and throws OutOfDirectMemoryError at once.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -22,8 +22,13 @@
 heap_mb=$(( heap_mb < 12 ? 12 : heap_mb > 64 ? 64 : heap_mb ))
 direct_mb=$(( memory_mb < 32 ? 4 : memory_mb / 8 ))
 
+# With access to the constructor of direct buffers Netty takes their memory itself, and where none is left fails at once. The VM would
+# collect garbage and sleep for half a second first, on the event loop.
+
 exec java -XX:SharedArchiveFile=target/load-balancer.jsa -XX:+UseSerialGC -XX:TieredStopAtLevel=1 \
   -XX:CompileThresholdScaling=0.5 -Xms${heap_mb}m -Xmx${heap_mb}m -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=${direct_mb}m \
+  -Dio.netty.maxDirectMemory=$(( direct_mb << 20 )) --add-opens=java.base/java.nio=ALL-UNNAMED \
+  -Dio.netty.tryReflectionSetAccessible=true \
   -XX:MaxMetaspaceSize=32m -XX:ReservedCodeCacheSize=16m -Xss512k -XX:-UsePerfData -Dio.netty.jfr.enabled=false \
   -Dio.netty.leakDetection.level=disabled -Dio.netty.allocator.type=pooled -Dio.netty.allocator.numHeapArenas=1 \
   -Dio.netty.allocator.numDirectArenas=1 -Dio.netty.allocator.maxOrder=6 -XX:+ExitOnOutOfMemoryError -jar target/load-balancer.jar serve
--- a/src/test/java/loadbalancer/DeploymentTest.java
+++ b/src/test/java/loadbalancer/DeploymentTest.java
@@ -70,7 +70,8 @@
         List.of(
             "-Xms" + heapMegabytes + "m",
             "-Xmx" + heapMegabytes + "m",
-            "-XX:MaxDirectMemorySize=" + bufferMegabytes + "m")) {
+            "-XX:MaxDirectMemorySize=" + bufferMegabytes + "m",
+            "-Dio.netty.maxDirectMemory=" + (bufferMegabytes << 20))) {
       assertTrue(
           arguments.contains(expected), () -> expected + " for " + limits + " in " + arguments);
     }
