--- a/src/main/java/loadbalancer/proxy/ProxyServer.java
+++ b/src/main/java/loadbalancer/proxy/ProxyServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -16,7 +17,6 @@
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.downstream.DownstreamListener;
 import loadbalancer.gossip.GossipChannel;
-import loadbalancer.net.RoundingIoHandler;
 import loadbalancer.telemetry.LogValues;
 
 /**
@@ -48,7 +48,7 @@
     group =
         TransientFailures.retry(
             "event_loop_failed",
-            () -> new MultiThreadIoEventLoopGroup(1, RoundingIoHandler.newFactory()));
+            () -> new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()));
     loop = group.next();
   }
 
