Leave pipelined requests unread when the queue is full, in place of dropping them

Cause: PipelinedRequests held 32 requests; a further one got an error and ClientConnection.queue called ClientInput.discard, so that all later input was read and thrown away. The same where the memory for heads was used up.

Change: a queue of 256 requests, or one without memory, is full; the connection then stops reading until a request has been polled (ClientInput.pause, resume). The time of what was unread counts from the moment in which reading stopped.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -117,7 +117,7 @@
     if (!request.decoderResult().isSuccess()) {
       input.discard();
     }
-    long arrivedAtNanos = router.earliestArrivalNanos() - input.acceptDelayNanos();
+    long arrivedAtNanos = router.earliestArrivalNanos() - input.readDelayNanos();
     if (!responsePending) {
       serve(request, arrivedAtNanos);
     } else {
@@ -127,8 +127,9 @@
 
   private void queue(FullHttpRequest request, long arrivedAtNanos) {
     long deadlineNanos = router.deadlineNanos(request, arrivedAtNanos);
-    if (!pipelined.enqueue(request, arrivedAtNanos, deadlineNanos)) {
-      input.discard();
+    pipelined.enqueue(request, arrivedAtNanos, deadlineNanos);
+    if (pipelined.isFull()) {
+      input.pause();
     }
     channel
         .eventLoop()
@@ -321,8 +322,12 @@
   }
 
   private void serveNext() {
-    responsePending = false;
     PipelinedRequests.QueuedRequest next = pipelined.poll();
+    if (!pipelined.isFull()) {
+      // What is read here is queued, as a response still counts as pending.
+      input.resume();
+    }
+    responsePending = false;
     if (next != null) {
       serve(next.request(), next.arrivedAtNanos());
       next.request().release();
--- a/src/main/java/loadbalancer/downstream/ClientInput.java
+++ b/src/main/java/loadbalancer/downstream/ClientInput.java
@@ -34,6 +34,18 @@
   /** Longest time that the input being read may have waited for the connection to be accepted. */
   private long acceptDelayNanos;
 
+  /** True if input is left unread in the socket for now. */
+  private boolean paused;
+
+  /**
+   * {@code System.nanoTime} since which input may have been unread because of a pause; meaningful
+   * if {@link #mayHaveBacklog}.
+   */
+  private long unreadSinceNanos;
+
+  /** True if input may still be unread because of a pause. */
+  private boolean mayHaveBacklog;
+
   ClientInput(Channel channel) {
     this.channel = channel;
   }
@@ -55,13 +67,48 @@
     return discarded;
   }
 
-  long acceptDelayNanos() {
-    return acceptDelayNanos;
+  /** Returns how long the input being read may have been unread for other reasons than lag. */
+  long readDelayNanos() {
+    long pauseNanos = mayHaveBacklog ? System.nanoTime() - unreadSinceNanos : 0;
+    return Math.max(acceptDelayNanos, pauseNanos);
   }
 
   /** Stops decoding. Bytes are still read, to notice a disconnect, and discarded. */
   void discard() {
     discarded = true;
+    setPaused(false);
+  }
+
+  /** Leaves further input unread, unless it is discarded. A disconnect is not noticed meanwhile. */
+  void pause() {
+    if (paused || discarded) {
+      return;
+    }
+    if (!mayHaveBacklog) {
+      mayHaveBacklog = true;
+      unreadSinceNanos = System.nanoTime();
+    }
+    setPaused(true);
+  }
+
+  /** Ends a pause, and reads what has arrived during it; this may lead to another pause. */
+  void resume() {
+    if (!paused) {
+      return;
+    }
+    if (decoding) {
+      channel.eventLoop().execute(this::resume);
+      return;
+    }
+    setPaused(false);
+    while (!paused && !discarded && mayHaveBacklog) {
+      mayHaveBacklog = !readPending();
+    }
+  }
+
+  private void setPaused(boolean pause) {
+    paused = pause;
+    channel.config().setAutoRead(!pause);
   }
 
   /** Counts bytes that have been read, and returns whether they are to be decoded. */
@@ -86,15 +133,21 @@
 
   /**
    * Reads all pending input, in several reads if necessary, or about {@link #MAX_PENDING_BYTES} if
-   * it is more. This may start the serving of a request.
+   * it is more, and none during a pause. This may start the serving of a request.
+   *
+   * @return whether all of it has been read
    */
-  void readPending() {
+  boolean readPending() {
     long bytesReadAtStart = bytesRead;
     long bytesReadBefore;
     do {
+      if (paused) {
+        return false;
+      }
       bytesReadBefore = bytesRead;
       PendingReads.readNow(channel);
     } while (bytesRead > bytesReadBefore && bytesRead - bytesReadAtStart < MAX_PENDING_BYTES);
+    return bytesRead == bytesReadBefore;
   }
 
   /**
--- a/src/main/java/loadbalancer/downstream/PipelinedRequests.java
+++ b/src/main/java/loadbalancer/downstream/PipelinedRequests.java
@@ -1,7 +1,5 @@
 package loadbalancer.downstream;
 
-import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.util.ArrayDeque;
 import java.util.Map;
@@ -13,8 +11,11 @@
  */
 final class PipelinedRequests {
 
-  /** Limit on the number of queued requests, which bounds the memory they take. */
-  private static final int MAX_REQUESTS = 32;
+  /**
+   * Number of queued requests from which on the queue is full. While input is left unread, a
+   * disconnect cannot be noticed, so that the queue holds more than clients usually send at once.
+   */
+  private static final int MAX_REQUESTS = 256;
 
   /** Memory that a queued request takes in addition to its URI and headers, in bytes. */
   private static final long REQUEST_OVERHEAD_BYTES = 512;
@@ -26,16 +27,16 @@
    * A queued request, whose timeout runs from its arrival.
    *
    * @param deadlineNanos clock reading at which the timeout ends
-   * @param headBytes bytes that its head counts against the budget; 0 if the request was queued
-   *     only to get an error response
+   * @param headBytes memory that is reserved for its head; 0 if there was none left
    */
   record QueuedRequest(
       FullHttpRequest request, long arrivedAtNanos, long deadlineNanos, long headBytes) {}
 
   private final MemoryBudget budget;
   private final ArrayDeque<QueuedRequest> queue = new ArrayDeque<>(1);
+  private int requestsWithoutMemory;
 
-  /** Creates an empty queue. The heads of queued requests count against the budget. */
+  /** Creates an empty queue, which reserves memory for the heads of queued requests. */
   PipelinedRequests(MemoryBudget budget) {
     this.budget = budget;
   }
@@ -45,20 +46,21 @@
   }
 
   /**
-   * Queues a request and retains it. If too many requests are queued already or too much memory is
-   * in use, queues it as one whose decoding failed, so that it gets an error response in its turn,
-   * and returns false: the caller must discard further input.
+   * Returns whether further input must be left unread until a request has been polled, because many
+   * requests are queued or no memory is left.
    */
-  boolean enqueue(FullHttpRequest request, long arrivedAtNanos, long deadlineNanos) {
+  boolean isFull() {
+    return queue.size() >= MAX_REQUESTS || requestsWithoutMemory > 0;
+  }
+
+  /** Queues a request, even if the queue is full, and retains it. */
+  void enqueue(FullHttpRequest request, long arrivedAtNanos, long deadlineNanos) {
     long headBytes = headBytes(request);
-    if (queue.size() < MAX_REQUESTS && budget.tryReserve(headBytes)) {
-      queue.add(new QueuedRequest(request.retain(), arrivedAtNanos, deadlineNanos, headBytes));
-      return true;
+    if (!budget.tryReserve(headBytes)) {
+      headBytes = 0;
+      requestsWithoutMemory++;
     }
-    request.setDecoderResult(
-        DecoderResult.failure(new TooLongFrameException("too many pipelined requests")));
-    queue.add(new QueuedRequest(request.retain(), arrivedAtNanos, deadlineNanos, 0));
-    return false;
+    queue.add(new QueuedRequest(request.retain(), arrivedAtNanos, deadlineNanos, headBytes));
   }
 
   /** Returns approximately how much memory a request's head takes. */
@@ -73,9 +75,13 @@
   /** Removes the next request, which the caller has to release. Returns null if there is none. */
   QueuedRequest poll() {
     QueuedRequest next = queue.poll();
-    if (next != null) {
-      budget.release(next.headBytes());
+    if (next == null) {
+      return null;
+    }
+    if (next.headBytes() == 0) {
+      requestsWithoutMemory--;
     }
+    budget.release(next.headBytes());
     return next;
   }
 
