--- a/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -188,6 +188,7 @@
     if (status != AttemptStatus.RESET
         && completed.isWritten()
         && !completed.isDone()
+        && channel.isActive()
         && HttpUtil.isKeepAlive(response)
         && isEndpointReady.test(endpointId)) {
       idleSinceNanos = System.nanoTime();
