Fail a body whose memory cannot be allocated, in place of passing on what is left

Cause: found by reading. BodyBuffer takes memory where a body is collected, and where direct memory is used up that throws an OutOfMemoryError. Netty's aggregator goes on with the next part of the message then, so that a response could be forwarded as complete without the piece that found no memory.

Change: a failed allocation ends the body as a lack of budget does: the message fails, once, and all of its memory is free.

Test: BodyAggregatorTest.failsAMessageWhoseBodyCannotBeAllocated; before, the error escaped and ended the test's process.

--- a/src/main/java/loadbalancer/http/BodyBuffer.java
+++ b/src/main/java/loadbalancer/http/BodyBuffer.java
@@ -75,15 +75,27 @@
 
   /** Adds a writable block, or frees all blocks if there is no memory for it. */
   private void addBlock(int bytes) {
-    if (hasFailed || !budget.tryReserve(bytes)) {
+    if (hasFailed || !tryAllocate(bytes)) {
       hasFailed = true;
       clear();
       removeComponents(0, numComponents());
       releaseReservation();
       throw new TooLongHttpContentException("no memory is left for the body");
     }
+  }
+
+  private boolean tryAllocate(int bytes) {
+    if (!budget.tryReserve(bytes)) {
+      return false;
+    }
     reservedBytes += bytes;
-    capacity(capacity() + bytes);
+    try {
+      capacity(capacity() + bytes);
+      return true;
+    } catch (OutOfMemoryError e) {
+      // Direct memory is used up. The pieces that follow must not be taken for the whole body.
+      return false;
+    }
   }
 
   private void releaseReservation() {
--- a/src/test/java/loadbalancer/http/BodyAggregatorTest.java
+++ b/src/test/java/loadbalancer/http/BodyAggregatorTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.AbstractByteBufAllocator;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -119,6 +120,45 @@
     assertThrows(PrematureChannelClosureException.class, connection::finishAndReleaseAll);
   }
 
+  /** An allocator that fails from the second direct buffer on, as if direct memory was used up. */
+  private static final class ExhaustedAllocator extends AbstractByteBufAllocator {
+
+    private int allocations;
+
+    @Override
+    protected ByteBuf newDirectBuffer(int initialCapacity, int maxCapacity) {
+      if (allocations++ > 0) {
+        throw new OutOfMemoryError("direct memory");
+      }
+      return Unpooled.directBuffer(initialCapacity, maxCapacity);
+    }
+
+    @Override
+    protected ByteBuf newHeapBuffer(int initialCapacity, int maxCapacity) {
+      return Unpooled.buffer(initialCapacity, maxCapacity);
+    }
+
+    @Override
+    public boolean isDirectBufferPooled() {
+      return false;
+    }
+  }
+
+  /** Guards against a body that is passed on as complete without the piece that found no memory. */
+  @Test
+  void failsAMessageWhoseBodyCannotBeAllocated() {
+    MemoryBudget budget = new MemoryBudget(UNLIMITED);
+    EmbeddedChannel connection = connection(budget);
+    connection.config().setAllocator(new ExhaustedAllocator());
+    receive(connection, head("Content-Length: 20000") + "x".repeat(20_000));
+    FullHttpRequest request = connection.readInbound();
+    assertFalse(request.decoderResult().isSuccess());
+    assertFalse(request.content().isReadable());
+    assertEquals(0, budget.usedBytes());
+    assertReadBuffersFree();
+    connection.releaseInbound();
+  }
+
   @Test
   void releasesThePartOfABodyWhoseConnectionCloses() {
     MemoryBudget budget = new MemoryBudget(UNLIMITED);
