--- a/src/main/java/loadbalancer/http/BodyBuffer.java
+++ b/src/main/java/loadbalancer/http/BodyBuffer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.TooLongHttpContentException;
+import java.util.logging.Logger;
 import loadbalancer.net.MemoryBudget;
 
 /**
@@ -13,6 +14,8 @@
  */
 final class BodyBuffer extends CompositeByteBuf {
 
+  private static final Logger LOG = Logger.getLogger(BodyBuffer.class.getName());
+
   /** The size of a page of the pooled allocator: any free page fits, however scattered they are. */
   private static final int MAX_BLOCK_BYTES = 8 * 1024;
 
@@ -94,6 +97,7 @@
       return true;
     } catch (OutOfMemoryError e) {
       // Direct memory is used up. The pieces that follow must not be taken for the whole body.
+      LOG.warning("body_allocation_failed reason=\"" + e + "\"");
       return false;
     }
   }
