Review: take what no case uses out of the stand-ins

Cause: the case that was taken out left a signal, a new configuration and a discovery that retires. Change: they are gone.

--- a/review/stand-ins-2/Discovery.java
+++ b/review/stand-ins-2/Discovery.java
@@ -16,7 +16,6 @@
 
   final int port;
   private final Lab lab;
-  private final ServerSocket listener;
   private final String name;
   private final Map<String, String> phases = new LinkedHashMap<>();
   private final Map<String, Integer> ports = new LinkedHashMap<>();
@@ -36,7 +35,7 @@
     this.lab = lab;
     this.name = name;
     this.revision = revision;
-    listener = new ServerSocket(0, 256, InetAddress.getByName(Lab.LOOPBACK));
+    ServerSocket listener = new ServerSocket(0, 256, InetAddress.getByName(Lab.LOOPBACK));
     port = listener.getLocalPort();
     Upstream.daemon(
         () -> {
@@ -76,20 +75,6 @@
     open.clear();
   }
 
-  /** Takes no new connections from now on, and closes the open ones after 1.5 s. */
-  void retire() throws IOException {
-    listener.close();
-    Upstream.daemon(
-        () -> {
-          Lab.sleep(1500);
-          synchronized (this) {
-            for (Socket socket : open) {
-              socket.close();
-            }
-          }
-        });
-  }
-
   /** Waits until a list or a change of the latest revision has been written, and returns when. */
   synchronized long awaitTold(long millis) throws Exception {
     long limit = System.nanoTime() + millis * 1_000_000;
--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -97,10 +97,6 @@
     record.flush();
   }
 
-  long nowNanos() {
-    return System.nanoTime();
-  }
-
   static void sleep(long millis) {
     try {
       Thread.sleep(Math.max(0, millis));
@@ -122,37 +118,19 @@
   static final class Proxy {
     final int port;
     private final Process process;
-    private final Path config;
 
-    private Proxy(int port, Process process, Path config) {
+    private Proxy(int port, Process process) {
       this.port = port;
       this.process = process;
-      this.config = config;
     }
 
     boolean isAlive() {
       return process.isAlive();
     }
-
-    /** Sends a signal to the process that `run` became. */
-    void signal(String name) throws Exception {
-      new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-    }
-
-    /** Replaces the configuration file at once. */
-    void replaceConfiguration(String text) throws IOException {
-      Path next = config.resolveSibling(config.getFileName() + ".next");
-      Files.writeString(next, text);
-      Files.move(
-          next,
-          config,
-          java.nio.file.StandardCopyOption.ATOMIC_MOVE,
-          java.nio.file.StandardCopyOption.REPLACE_EXISTING);
-    }
   }
 
   /** Returns the configuration of an instance, as on the deployment page. */
-  static String configuration(int port, int discoveryPort, String knownList, String settings) {
+  private static String configuration(int port, int discoveryPort, String knownList, String settings) {
     return "{\n \"name\":\"n0\",\n \"listen\":\""
         + LOOPBACK + ":" + port
         + "\",\n \"discovery\":\""
@@ -188,7 +166,7 @@
       try (Client client = new Client(port, 1000)) {
         if (client.exchange("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n", 1000).status == 200) {
           log("load balancer ready on port " + port);
-          return new Proxy(port, process, config);
+          return new Proxy(port, process);
         }
       } catch (IOException e) {
         // It does not listen yet.
