Log complete endpoint lists and the loss of the last ready endpoint

When a complete list had no effect, the log did not tell whether it had not arrived, was rejected by the directory, or was not followed by the engine.

endpoint_list_received now has the revision and the number of members of each complete list from discovery beside the figures of the directory after it; no_endpoint_ready and endpoint_ready mark the time in which nothing can be forwarded.

--- a/src/main/java/loadbalancer/discovery/EndpointDirectory.java
+++ b/src/main/java/loadbalancer/discovery/EndpointDirectory.java
@@ -95,14 +95,25 @@
     return listing != null && listing.member().state() == EndpointState.READY;
   }
 
-  /** Returns whether at least one endpoint is ready. */
-  public boolean hasReadyEndpoint() {
+  /** Returns the number of listed endpoints, whatever their states. */
+  public int size() {
+    return listingsById.size();
+  }
+
+  /** Returns the number of listed endpoints that are ready. */
+  public int readyCount() {
+    int count = 0;
     for (Listing listing : listingsById.values()) {
       if (listing.member().state() == EndpointState.READY) {
-        return true;
+        count++;
       }
     }
-    return false;
+    return count;
+  }
+
+  /** Returns whether at least one endpoint is ready. */
+  public boolean hasReadyEndpoint() {
+    return readyCount() > 0;
   }
 
   /**
--- a/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
@@ -34,6 +34,7 @@
   private final long drainGraceNanos;
   private final EndpointDirectory directory;
   private final DiscoveryClient client;
+  private final EndpointListLog listLog;
   private final CountDownLatch firstUpdate = new CountDownLatch(1);
   private RequestDispatcher dispatcher;
   private int consecutiveFailures;
@@ -57,6 +58,7 @@
     this.isPushed = isPushed;
     this.drainGraceNanos = drainGraceNanos;
     this.directory = directory;
+    listLog = new EndpointListLog(directory);
     client =
         new DiscoveryClient(
             bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS),
@@ -115,6 +117,7 @@
     } else {
       consecutiveFailures = 0;
       dispatcher.endpointsUpdated(kind, list);
+      listLog.updated(kind, list);
       scheduleRetryIfOutdated(list);
     }
   }
