Apply complete endpoint lists without members

Cause: EndpointDirectory.checkAcceptable rejected a complete list without members while the directory had some. Such a list is what discovery sends first on a new watch once all endpoints drain; what a complete list omits is gone. The known revision stayed and deltas went on top, so no later list named the endpoint again.

Evidence: endpoint_list_received showed the list arriving whole (revision=43 members=0) and the directory unchanged (known_revision=42 endpoints=1).

Change: the guard is removed. Lists with an older revision, empty or not, are still rejected until discovery has been behind for 4 s, which covers a discovery that has lost its state and counts anew. All paths (pushed, polled, fetched, after a reload) go through the directory.

--- a/src/main/java/loadbalancer/discovery/EndpointDirectory.java
+++ b/src/main/java/loadbalancer/discovery/EndpointDirectory.java
@@ -117,8 +117,8 @@
   }
 
   /**
-   * Applies a complete list or a delta unless it is outdated, or is a complete list without
-   * endpoints while the directory has some.
+   * Applies a complete list or a delta unless it is outdated. An endpoint that a complete list
+   * omits is gone, also if the list has no members at all.
    *
    * @param kind how the list was obtained, and whether it is complete
    * @return the update for the decision engine; a delta without changes if the list was rejected
@@ -126,7 +126,7 @@
   public EndpointListUpdate apply(UpdateKind kind, EndpointList list) {
     restartedEndpoints.clear();
     long now = clock.nowNanos();
-    if (!checkAcceptable(kind, list, now)) {
+    if (!checkAcceptable(list, now)) {
       return new EndpointListUpdate(UpdateKind.DELTA, List.of());
     }
     revision = list.revision();
@@ -191,18 +191,15 @@
    *
    * <p>A lagging discovery sends older revisions, which would bring back endpoints that are gone. A
    * complete one is accepted once discovery has been behind for {@link #MAX_LAG_NANOS}. A list
-   * without a revision is never outdated. A discovery that has lost its state sends a complete list
-   * without endpoints, which is rejected while the directory has some.
+   * without a revision is never outdated.
    */
-  private boolean checkAcceptable(UpdateKind kind, EndpointList list, long now) {
+  private boolean checkAcceptable(EndpointList list, long now) {
     boolean isOutdated = list.revision() > 0 && list.revision() < revision;
     if (isOutdated && !isDiscoveryBehind) {
       behindSinceNanos = now;
     }
     isDiscoveryBehind = isOutdated && !(list.complete() && now - behindSinceNanos >= MAX_LAG_NANOS);
-    boolean wouldEmptyList =
-        kind != UpdateKind.DELTA && list.members().isEmpty() && !listingsById.isEmpty();
-    return !isDiscoveryBehind && !wouldEmptyList;
+    return !isDiscoveryBehind;
   }
 
   /** Returns all listed endpoints as a cached update, for a newly created decision engine. */
--- a/src/test/java/loadbalancer/discovery/EndpointDirectoryTest.java
+++ b/src/test/java/loadbalancer/discovery/EndpointDirectoryTest.java
@@ -1,6 +1,8 @@
 package loadbalancer.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.InetSocketAddress;
@@ -8,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.decision.api.Endpoint;
 import loadbalancer.decision.api.EndpointState;
+import loadbalancer.decision.api.Event.EndpointListUpdate;
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.discovery.EndpointList.Member;
 import loadbalancer.net.MonotonicClock;
@@ -47,6 +50,32 @@
     assertEquals(before, applyAndGetIds(3, member("a", 1, 0), member("b", 2, 0)));
   }
 
+  /** Guards against an ignored empty list, whose omitted endpoints stayed in use for good. */
+  @Test
+  void completeListWithoutMembersRemovesAllEndpoints() {
+    List<Long> ids = applyAndGetIds(5, member("a", 1, 0), member("b", 2, 0));
+    EndpointListUpdate update =
+        directory.apply(UpdateKind.FULL, new EndpointList(6, true, List.of()));
+    assertEquals(new EndpointListUpdate(UpdateKind.FULL, List.of()), update);
+    assertEquals(6, directory.revision());
+    assertEquals(0, directory.size());
+    assertFalse(directory.isReady(ids.get(0)));
+    assertNull(directory.address(ids.get(1)));
+    assertEquals(ids.subList(0, 1), applyAndGetIds(7, member("a", 1, 0)), "it returns");
+    assertEquals(1, directory.readyCount());
+  }
+
+  /** An older empty list may come from a discovery that lags, as any other older list. */
+  @Test
+  void completeListWithoutMembersOfAnOlderRevisionIsRejected() {
+    List<Long> ids = applyAndGetIds(5, member("a", 1, 0));
+    EndpointListUpdate update =
+        directory.apply(UpdateKind.FULL, new EndpointList(4, true, List.of()));
+    assertEquals(new EndpointListUpdate(UpdateKind.DELTA, List.of()), update);
+    assertTrue(directory.isDiscoveryBehind());
+    assertTrue(directory.isReady(ids.get(0)));
+  }
+
   @Test
   void endpointsWithAnotherAddressOrStartTimeHaveRestarted() {
     List<Long> ids = applyAndGetIds(1, member("a", 1, 5), member("b", 2, 5), member("c", 3, 5));
