Do not reuse a connection whose decoder holds bytes behind the response

Cause: UpstreamConnection.completeCall made the connection idle without asking whether the decoder holds bytes beyond the response. They came in the same read, so neither the check of the socket nor that of idle connections saw them, and the next response completed them.

Change: such a connection is closed; the response itself counts as before. The closes are counted (surplus_responses in the summary) and logged with the endpoint's address, as are those for bytes on an idle connection.

RequestTraceTest expects the new field.

--- a/src/main/java/loadbalancer/proxy/ProxyComponents.java
+++ b/src/main/java/loadbalancer/proxy/ProxyComponents.java
@@ -20,6 +20,7 @@
 import loadbalancer.telemetry.EventLoopLagMonitor;
 import loadbalancer.telemetry.MemoryUsage;
 import loadbalancer.telemetry.RequestTrace;
+import loadbalancer.telemetry.UpstreamActivity;
 import loadbalancer.upstream.ConnectionPool;
 
 /**
@@ -113,6 +114,7 @@
       DescriptorBudget descriptors = new DescriptorBudget(limits.maxDescriptors());
       MemoryBudget bodyBudget = new MemoryBudget(limits.maxBodyBytes());
       MemoryBudget headBudget = new MemoryBudget(limits.maxHeadBytes());
+      UpstreamActivity upstreamActivity = new UpstreamActivity();
       ConnectionPool pool =
           new ConnectionPool(
               upstreams,
@@ -120,13 +122,15 @@
               settings.limits().connectTimeoutNanos(),
               upstreamIdleNanos,
               directory::isReady,
-              new MessageMemory(bodyBudget, headBudget));
+              new MessageMemory(bodyBudget, headBudget),
+              upstreamActivity);
       ClientActivity clients = new ClientActivity();
       RequestTrace trace =
           new RequestTrace(
               directory::name,
               MemoryUsage.ofProcess(bodyBudget::usedBytes, headBudget::usedBytes),
-              clients);
+              clients,
+              upstreamActivity);
       loop.scheduleWithFixedDelay(
           () -> trace.periodPassed(clock.nowNanos()),
           SUMMARY_PERIOD_SECONDS,
--- a/src/main/java/loadbalancer/telemetry/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -38,6 +38,7 @@
   private final LongFunction<String> endpointNames;
   private final MemoryUsage memoryUsage;
   private final ClientActivity clients;
+  private final UpstreamActivity upstreams;
   private final int[] attemptCounts = new int[STATUSES.length];
   private final int[] refusalCounts = new int[REFUSALS.length];
   private long periodEndNanos;
@@ -55,12 +56,17 @@
    *
    * @param endpointNames returns the name of the endpoint with a given id
    * @param clients the activity of client connections, whose periods are those of the trace
+   * @param upstreams the activity of connections to endpoints, whose periods are those of the trace
    */
   public RequestTrace(
-      LongFunction<String> endpointNames, MemoryUsage memoryUsage, ClientActivity clients) {
+      LongFunction<String> endpointNames,
+      MemoryUsage memoryUsage,
+      ClientActivity clients,
+      UpstreamActivity upstreams) {
     this.endpointNames = endpointNames;
     this.memoryUsage = memoryUsage;
     this.clients = clients;
+    this.upstreams = upstreams;
   }
 
   /** Counts an attempt by the status with which it ended. */
@@ -158,6 +164,7 @@
     for (AttemptRefusal refusal : REFUSALS) {
       appendCount(line, " unwritten_", refusal, refusalCounts[refusal.ordinal()]);
     }
+    upstreams.appendTo(line);
     line.append(" max_loop_lag_ms=").append(toMillis(maxLagNanos));
     clients.appendTo(line);
     log(line.append(' ').append(memoryUsage));
@@ -181,6 +188,7 @@
     Arrays.fill(attemptCounts, 0);
     Arrays.fill(refusalCounts, 0);
     clients.startPeriod();
+    upstreams.startPeriod();
   }
 
   private void logRequestIfAllowed(TracedRequest request, String status, long nowNanos) {
--- a/src/main/java/loadbalancer/upstream/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -18,6 +18,7 @@
 import loadbalancer.http.MessageMemory;
 import loadbalancer.net.ConnectFailures;
 import loadbalancer.net.DescriptorBudget;
+import loadbalancer.telemetry.UpstreamActivity;
 
 /**
  * A pool of connections to upstream endpoints. Each call is sent on a reusable idle connection if
@@ -48,6 +49,7 @@
    * @param upstreamIdleNanos the idle time after which upstreams close connections
    * @param isEndpointReady tests whether the endpoint with the given id accepts new requests
    * @param memory memory for responses
+   * @param activity counts what happens on the connections
    */
   public ConnectionPool(
       Bootstrap bootstrap,
@@ -55,10 +57,11 @@
       long connectTimeoutNanos,
       long upstreamIdleNanos,
       LongPredicate isEndpointReady,
-      MessageMemory memory) {
+      MessageMemory memory,
+      UpstreamActivity activity) {
     this.descriptors = descriptors;
     this.connectTimeoutNanos = connectTimeoutNanos;
-    idleConnections = new IdleConnections(upstreamIdleNanos);
+    idleConnections = new IdleConnections(upstreamIdleNanos, activity);
     loop = bootstrap.config().group().next();
     int connectTimeoutMillis = (int) TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos);
     this.bootstrap =
--- a/src/main/java/loadbalancer/upstream/IdleConnections.java
+++ b/src/main/java/loadbalancer/upstream/IdleConnections.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
+import loadbalancer.telemetry.UpstreamActivity;
 
 /**
  * The idle connections of all endpoints. Decides which of them may be reused for another call, and
@@ -25,6 +26,8 @@
   private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
   private final SecondResponseGuard secondResponseGuard = new SecondResponseGuard();
 
+  private final UpstreamActivity activity;
+
   /** The connections of each endpoint, most recently used first. */
   private final Map<Long, ArrayDeque<UpstreamConnection>> byEndpoint = new HashMap<>();
 
@@ -32,8 +35,10 @@
    * Creates an empty set of connections.
    *
    * @param upstreamIdleNanos the idle time after which upstreams close connections
+   * @param activity counts the surplus responses
    */
-  IdleConnections(long upstreamIdleNanos) {
+  IdleConnections(long upstreamIdleNanos, UpstreamActivity activity) {
+    this.activity = activity;
     idleTimeoutNanos = (long) (upstreamIdleNanos * IDLE_TIMEOUT_FRACTION);
   }
 
@@ -96,6 +101,11 @@
     reusePolicy.recordReuse(System.nanoTime(), idleNanos, hasBroken);
   }
 
+  /** Counts a connection on which bytes followed a complete response. */
+  void recordSurplusResponse() {
+    activity.surplusResponseReceived();
+  }
+
   /** Records unexpected bytes as a second response if the connection is idle. */
   void recordUnexpectedBytes(UpstreamConnection connection) {
     ArrayDeque<UpstreamConnection> connections = byEndpoint.get(connection.endpointId());
--- a/src/main/java/loadbalancer/upstream/ResponseDecoder.java
+++ b/src/main/java/loadbalancer/upstream/ResponseDecoder.java
@@ -25,7 +25,15 @@
 
   /** Returns whether any bytes of a response have arrived since {@link #responseEnded}. */
   boolean hasPartialResponse() {
-    return hasResponseStarted || actualReadableBytes() > 0;
+    return hasResponseStarted || hasUndecodedBytes();
+  }
+
+  /**
+   * Returns whether bytes have arrived that are not part of any message decoded so far. They would
+   * be taken for the start of the next response.
+   */
+  boolean hasUndecodedBytes() {
+    return actualReadableBytes() > 0;
   }
 
   /** Records that the current response has been passed on completely or is abandoned. */
--- a/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -21,14 +21,17 @@
 
 /**
  * One connection to an endpoint and the call on it. This is the last handler of the connection's
- * pipeline. When a call completes with a well-formed response that permits keep-alive and the
- * endpoint is ready, the connection becomes idle; otherwise it is closed.
+ * pipeline. When a call completes with a well-formed response that permits keep-alive, nothing has
+ * arrived behind it and the endpoint is ready, the connection becomes idle; otherwise it is closed.
  */
 final class UpstreamConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
 
   private static final BoundedLog FAILURES =
       new BoundedLog(Logger.getLogger(UpstreamConnection.class.getName()));
 
+  private static final BoundedLog SURPLUS_RESPONSES =
+      new BoundedLog(Logger.getLogger(UpstreamConnection.class.getName()));
+
   /** The maximum number of 1xx responses before the final response. */
   private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -146,6 +149,9 @@
 
   /** Closes the connection after bytes arrived that do not belong to a response to its call. */
   void rejectUnexpectedBytes() {
+    if (call == null) {
+      recordSurplusResponse();
+    }
     idleConnections.recordUnexpectedBytes(this);
     abort();
   }
@@ -191,12 +197,10 @@
       // A response that arrives before the whole request is written belongs to another request.
       status = AttemptStatus.RESET;
     }
-    if (status != AttemptStatus.RESET
-        && completed.isWritten()
-        && !completed.isDone()
-        && channel.isActive()
-        && HttpUtil.isKeepAlive(response)
-        && isEndpointReady.test(endpointId)) {
+    if (decoder.hasUndecodedBytes()) {
+      recordSurplusResponse();
+      channel.close();
+    } else if (status != AttemptStatus.RESET && isReusableAfter(completed, response)) {
       idleSinceNanos = System.nanoTime();
       idleConnections.add(this);
     } else {
@@ -206,6 +210,20 @@
     headMemory.releaseAll();
   }
 
+  private boolean isReusableAfter(UpstreamCall completed, FullHttpResponse response) {
+    return completed.isWritten()
+        && !completed.isDone()
+        && channel.isActive()
+        && HttpUtil.isKeepAlive(response)
+        && isEndpointReady.test(endpointId);
+  }
+
+  /** Counts and logs that bytes followed a complete response. */
+  private void recordSurplusResponse() {
+    idleConnections.recordSurplusResponse();
+    SURPLUS_RESPONSES.warn("surplus_response address=" + channel.remoteAddress(), null);
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     if (call != null && !call.isDone() && !startCheck.hasResponseStarted()) {
--- a/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -57,11 +57,13 @@
   private final List<String> lines = new ArrayList<>();
   private final Logger logger = Logger.getLogger(RequestTrace.class.getName());
   private final ClientActivity clients = new ClientActivity();
+  private final UpstreamActivity upstreams = new UpstreamActivity();
   private final RequestTrace trace =
       new RequestTrace(
           endpointId -> "s-" + endpointId,
           new MemoryUsage(() -> 6 << 20, () -> 300 << 10, () -> 7 << 10, () -> 9 << 20),
-          clients);
+          clients,
+          upstreams);
   private final Handler handler =
       new Handler() {
         @Override
@@ -127,6 +129,7 @@
   void onlyCountsRequestsServedInTimeOrRejectedAtOnce() {
     trace.attemptEnded(AttemptStatus.SUCCESS);
     trace.attemptEnded(AttemptStatus.REJECTED);
+    upstreams.surplusResponseReceived();
     trace.timerFired(3 * MS);
     trace.responded(requestAcceptedAt("good", 0), HttpResponseStatus.OK, 400 * MS);
     trace.responded(
@@ -135,8 +138,9 @@
     assertEquals(
         List.of(
             "summary served=2 late=0 rejected_at_once=1 rejected_later=0 failed=0 abandoned=0"
-                + " attempts_success=1 attempts_rejected=1 max_loop_lag_ms=3 clients=0"
-                + " clients_unread=0 buffers_kib=6144 bodies_kib=300 heads_kib=7 heap_kib=9216"),
+                + " attempts_success=1 attempts_rejected=1 surplus_responses=1 max_loop_lag_ms=3"
+                + " clients=0 clients_unread=0 buffers_kib=6144 bodies_kib=300 heads_kib=7"
+                + " heap_kib=9216"),
         lines);
   }
 
--- a/src/test/java/loadbalancer/upstream/SecondResponseTest.java
+++ b/src/test/java/loadbalancer/upstream/SecondResponseTest.java
@@ -27,6 +27,9 @@
 @Timeout(value = 2 * ProxyFixture.TIMEOUT_SECONDS, unit = TimeUnit.SECONDS)
 class SecondResponseTest {
 
+  /** Longer than the initial quiet period after a response, far shorter than the idle timeout. */
+  private static final long QUIET_PERIOD_MILLIS = 15;
+
   private final ScriptedEngine engine = new ScriptedEngine(SingleEndpoint.LONG_TIMEOUT_NANOS);
 
   @ParameterizedTest
@@ -55,6 +58,47 @@
     }
   }
 
+  /**
+   * Guards against a leftover in the decoder that the next response on the connection completes: a
+   * client got another client's response, and a rejected request's successor ran twice. The
+   * leftover follows the response in the same write. In it, {@code ~} stands for a line break.
+   */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "200 OK|HTTP/1.1 200 OK~Content-Length: 30~~surplus",
+        "200 OK|HTTP/1.1 200 OK~Content-Len",
+        "200 OK|HTTP/1.1 ",
+        "200 OK|garbage",
+        "200 OK|HTTP/1.1 100 Continue~~HTTP/1.1 200 OK~Content-Length: 30~~surplus",
+        "503 Full~X-Never-Ran: 1|HTTP/1.1 503 Full~X-Never-Ran: 1~Content-Length: 30~~surplus",
+        "500 Error|HTTP/1.1 200 OK~Transfer-Encoding: chunked~~1e~surplus",
+      })
+  void closesConnectionOnLeftoverBehindResponse(String status, String leftover) throws Exception {
+    String first = "HTTP/1.1 " + status + "~Content-Length: 5~~first" + leftover;
+    try (FakeServer upstream =
+            new FakeServer(
+                connection -> {
+                  for (String request = connection.readRequest();
+                      request != null;
+                      request = connection.readRequest()) {
+                    boolean isFirst = request.contains("X-Trace-Id: t1");
+                    connection.write(
+                        isFirst ? first.replace("~", "\r\n") : FakeServer.ok("second"));
+                  }
+                });
+        ProxyFixture proxy = new ProxyFixture(SingleEndpoint.config(upstream.address()), engine);
+        Client client = proxy.client()) {
+      String firstResponse = client.exchange(ProxyFixture.get("t1", ""));
+      assertEquals(status.startsWith("200"), firstResponse.endsWith("\r\n\r\nfirst"));
+      Thread.sleep(QUIET_PERIOD_MILLIS); // The connection would be reused after it.
+      assertTrue(client.exchange(ProxyFixture.get("t2", "")).endsWith("\r\n\r\nsecond"));
+      assertEquals(2, upstream.connections.size(), "the first connection is not used again");
+      assertTrue(upstream.connections.take().awaitScriptEnd(), "closed by the proxy");
+    }
+  }
+
   /**
    * A second response arrives on an idle connection after the initial quiet period. From then on
    * the quiet period is longer: on a reused connection the next late response would be taken for
@@ -84,7 +128,7 @@
       assertTrue(client.exchange(ProxyFixture.get("t1", "")).endsWith("\r\n\r\nfirst"));
       assertTrue(upstream.connections.take().awaitScriptEnd(), "closed by the proxy");
       assertTrue(client.exchange(ProxyFixture.get("t2", "")).endsWith("\r\n\r\nnext"));
-      Thread.sleep(15); // Longer than the initial quiet period, far shorter than the extended one.
+      Thread.sleep(QUIET_PERIOD_MILLIS); // Far shorter than the extended quiet period.
       assertTrue(client.exchange(ProxyFixture.get("t3", "")).endsWith("\r\n\r\nnext"));
       assertEquals(3, connectionCount.get(), "the second connection is still in its quiet period");
       Thread.sleep(4 * delayMillis);
