Read a request without memory to its end, and serve those behind it

Cause: the body failed in its middle, so that the end of the request was not known, and all later input was read and dropped, as after a malformed one.

Change: a request's body that finds no memory is read to its end and dropped; the request gets 503 in its turn, and the connection goes on. A dropped body counts against the limit on its length. Responses still fail at once.

Tests: PipelinedBurstTest.respondsToEveryRequestBehindOneWithoutMemory failed with the input still discarded ("closed before the response to short request 32") and passes now.

--- a/src/main/java/loadbalancer/downstream/ClientConnection.java
+++ b/src/main/java/loadbalancer/downstream/ClientConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -21,6 +22,7 @@
 import loadbalancer.downstream.ClientConnections.State;
 import loadbalancer.http.HeadMemory;
 import loadbalancer.http.MessageMemory;
+import loadbalancer.http.MessageMemoryException;
 import loadbalancer.net.BoundedLog;
 import loadbalancer.telemetry.ClientActivity;
 import loadbalancer.telemetry.ClientCloseReason;
@@ -125,7 +127,7 @@
     if (input.isDiscarded()) {
       return;
     }
-    if (!request.decoderResult().isSuccess()) {
+    if (mustEndInput(request.decoderResult())) {
       input.discard();
     }
     long arrivedAtNanos = router.earliestArrivalNanos() - input.readDelayNanos();
@@ -136,6 +138,17 @@
     }
   }
 
+  /**
+   * Returns whether no further request can be read after this one: its decoding failed, and its end
+   * is not known.
+   */
+  private static boolean mustEndInput(DecoderResult result) {
+    boolean isReadToEnd =
+        result.cause() instanceof MessageMemoryException lacksMemory
+            && lacksMemory.isMessageComplete();
+    return !result.isSuccess() && !isReadToEnd;
+  }
+
   private void queue(FullHttpRequest request, long arrivedAtNanos) {
     long deadlineNanos = router.deadlineNanos(request, arrivedAtNanos);
     pipelined.enqueue(request, arrivedAtNanos, deadlineNanos);
--- a/src/main/java/loadbalancer/downstream/RequestAggregator.java
+++ b/src/main/java/loadbalancer/downstream/RequestAggregator.java
@@ -9,11 +9,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.function.BooleanSupplier;
 import loadbalancer.http.BodyAggregator;
+import loadbalancer.http.BodyOverflow;
 import loadbalancer.http.HttpProtocol;
 import loadbalancer.net.MemoryBudget;
 
 /**
- * An aggregator of the parts of a request into a complete one.
+ * An aggregator of the parts of a request into a complete one. One without memory is read to its
+ * end, as others that have to be responded to may follow it.
  *
  * <p>The only response it sends itself is {@code 100 Continue}. The error for a request that is too
  * large is sent in order with the other responses.
@@ -30,7 +32,7 @@
    *     response, which a {@code 100 Continue} would overtake
    */
   RequestAggregator(MemoryBudget bodyBudget, BooleanSupplier responsePending) {
-    super(bodyBudget);
+    super(bodyBudget, BodyOverflow.READ_TO_END);
     this.responsePending = responsePending;
   }
 
--- a/src/main/java/loadbalancer/http/BodyBuffer.java
+++ b/src/main/java/loadbalancer/http/BodyBuffer.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import java.util.logging.Logger;
 import loadbalancer.net.BoundedLog;
 import loadbalancer.net.MemoryBudget;
@@ -31,26 +32,41 @@
 
   private final MemoryBudget budget;
   private final long expectedBytes;
+  private final BodyOverflow overflow;
   private long reservedBytes;
+
+  /** True once there was too little memory. */
   private boolean hasFailed;
 
+  /** The length of the body so far, if it is dropped. */
+  private long droppedBytes;
+
   /**
    * Creates an empty body.
    *
    * @param budget memory for bodies
    * @param expectedBytes expected length of the body
+   * @param overflow what happens if too little memory is left for it
    */
-  BodyBuffer(ByteBufAllocator allocator, MemoryBudget budget, long expectedBytes) {
+  BodyBuffer(
+      ByteBufAllocator allocator, MemoryBudget budget, long expectedBytes, BodyOverflow overflow) {
     super(allocator, true, MAX_BLOCKS);
     this.budget = budget;
     this.expectedBytes = expectedBytes;
+    this.overflow = overflow;
+  }
+
+  /** Returns whether the body has been dropped for lack of memory, so that this buffer is empty. */
+  boolean isDropped() {
+    return hasFailed;
   }
 
   /**
    * Appends a copy of a piece, and releases the piece. Netty's aggregators add pieces by this.
    *
-   * @throws MessageMemoryException if too little memory is left, now or for an earlier piece; the
-   *     body then takes none
+   * @throws MessageMemoryException if too little memory is left, now or for an earlier piece, and
+   *     the body is not to be read to its end; it then takes no memory
+   * @throws TooLongHttpContentException if the body is dropped and has become too long
    */
   @Override
   public CompositeByteBuf addComponent(boolean increaseWriterIndex, ByteBuf piece) {
@@ -64,8 +80,9 @@
 
   private void append(ByteBuf piece) {
     while (piece.isReadable()) {
-      if (!isWritable()) {
-        addBlock(nextBlockBytes(piece.readableBytes()));
+      if (!isWritable() && !addBlock(nextBlockBytes(piece.readableBytes()))) {
+        drop(piece);
+        return;
       }
       writeBytes(piece, Math.min(piece.readableBytes(), writableBytes()));
     }
@@ -83,15 +100,28 @@
     return Integer.highestOneBit(2 * Math.max(MIN_BLOCK_BYTES, (int) missingBytes) - 1);
   }
 
-  /** Adds a writable block, or frees all blocks if there is no memory for it. */
-  private void addBlock(int bytes) {
-    if (hasFailed || !tryAllocate(bytes)) {
+  /** Adds a writable block, and returns whether there was memory for it. */
+  private boolean addBlock(int bytes) {
+    return !hasFailed && tryAllocate(bytes);
+  }
+
+  /** Drops the rest of a piece, and with the first one all blocks. */
+  private void drop(ByteBuf piece) {
+    if (!hasFailed) {
       hasFailed = true;
+      droppedBytes = writerIndex();
       clear();
       removeComponents(0, numComponents());
       releaseReservation();
+    }
+    if (overflow == BodyOverflow.FAIL_AT_ONCE) {
       throw new MessageMemoryException("body");
     }
+    droppedBytes += piece.readableBytes();
+    if (droppedBytes > HttpProtocol.MAX_BODY_BYTES) {
+      throw new TooLongHttpContentException(
+          "body larger than " + HttpProtocol.MAX_BODY_BYTES + " bytes");
+    }
   }
 
   private boolean tryAllocate(int bytes) {
--- a/src/main/java/loadbalancer/upstream/ResponseAggregator.java
+++ b/src/main/java/loadbalancer/upstream/ResponseAggregator.java
@@ -5,9 +5,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import loadbalancer.http.BodyAggregator;
+import loadbalancer.http.BodyOverflow;
 import loadbalancer.net.MemoryBudget;
 
-/** An aggregator of the parts of a response into a complete one. */
+/**
+ * An aggregator of the parts of a response into a complete one. One without memory fails at once,
+ * as its connection is closed anyway.
+ */
 final class ResponseAggregator extends BodyAggregator {
 
   /**
@@ -16,7 +20,7 @@
    * @param bodyBudget memory for response bodies
    */
   ResponseAggregator(MemoryBudget bodyBudget) {
-    super(bodyBudget);
+    super(bodyBudget, BodyOverflow.FAIL_AT_ONCE);
   }
 
   @Override
--- a/src/test/java/loadbalancer/downstream/PipelinedBurstTest.java
+++ b/src/test/java/loadbalancer/downstream/PipelinedBurstTest.java
@@ -29,6 +29,11 @@
   /** More than one read of the connection holds. */
   private static final int BURST = 700;
 
+  /** More long requests than the memory of a process with 32 MB holds. */
+  private static final int LONG_REQUESTS = 40;
+
+  private static final int LONG_BODY = 60_000;
+
   private static final Pattern TRACE_ID = Pattern.compile("X-Trace-Id: (\\S+)");
 
   private final CountDownLatch firstResponseReleased = new CountDownLatch(1);
@@ -98,6 +103,43 @@
     }
   }
 
+  /**
+   * Guards against requests that are read and dropped because one ahead of them found no memory for
+   * its body. That one gets 503; the others are served, and so is the next one on the connection.
+   */
+  @Test
+  void respondsToEveryRequestBehindOneWithoutMemory() throws Exception {
+    try (FakeServer upstream = upstream();
+        ProxyFixture proxy = start(upstream, "32");
+        Client client = proxy.client()) {
+      client.write(ProxyFixture.get("first", ""));
+      awaitFirstRequest(upstream);
+      for (int i = 0; i < LONG_REQUESTS; i++) {
+        client.write(
+            ProxyFixture.post("t" + i, "Idempotency-Key: k" + i + "\r\n", "x".repeat(LONG_BODY)));
+        client.write(ProxyFixture.get("short" + i, ""));
+        DownstreamFixture.awaitInputRead(proxy);
+      }
+      firstResponseReleased.countDown();
+      assertTrue(client.readResponse().endsWith("\r\n\r\nfirst"));
+      int rejected = 0;
+      for (int i = 0; i < LONG_REQUESTS; i++) {
+        String response = client.readResponse();
+        assertNotNull(response, "closed before the response to long request " + i);
+        boolean isRejected = response.startsWith("HTTP/1.1 503 ");
+        rejected += isRejected ? 1 : 0;
+        assertTrue(isRejected || response.endsWith("\r\n\r\nt" + i), response);
+        String shortResponse = client.readResponse();
+        assertNotNull(shortResponse, "closed before the response to short request " + i);
+        assertTrue(shortResponse.endsWith("\r\n\r\nshort" + i), shortResponse);
+      }
+      assertTrue(rejected > 0, "there was memory for all");
+      assertTrue(rejected < LONG_REQUESTS / 2, rejected + " rejected");
+      String next = client.exchange(ProxyFixture.get("next", ""));
+      assertTrue(next.endsWith("\r\n\r\nnext"), next);
+    }
+  }
+
   /** The client ends its sending right after the burst, which the proxy has not read by then. */
   @Test
   void servesEveryRequestOfABurstBeforeAConnectionClose() throws Exception {
