Keep a delayed discovery call open beside the next one

Cause: a call without its first list was given up after 1.4 s, later ones after 2.8 s, and the wait began anew in the next call, so that any longer wait was endless.

Change: at these times the call counts as delayed. A failure is reported and the next call follows with the same backoff, but the delayed one stays open beside it for 5.2 s in all. The one that gets a list first becomes the watch, the other is stopped; at most two are open, and calls are not more frequent than before. A watch that has received a list is not replaced by a retry that was scheduled before.

The sums of DiscoveryTimeoutsTest are unchanged, and one is added.

--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -8,9 +8,13 @@
 import loadbalancer.decision.api.UpdateKind;
 
 /**
- * A discovery client that fetches the endpoint list, keeps at most one watch on it open, and
- * supports a change of discovery's address. It reports every list and every failure; its owner
- * decides whether and when to retry a failed call. All methods must be called on the event loop.
+ * A discovery client that fetches the endpoint list, keeps a watch on it open, and supports a
+ * change of discovery's address. It reports every list and every failure; its owner decides whether
+ * and when to retry a failed call. All methods must be called on the event loop.
+ *
+ * <p>A watch that waits long for its first list is reported as failed, because discovery may have
+ * lost it, but stays open beside the next one, because discovery may be slow. The one that receives
+ * a list first is kept. At most two are open.
  */
 public final class DiscoveryClient implements EndpointSource {
 
@@ -28,17 +32,20 @@
   private final DiscoveryStream.Listener streamListener = new StreamListener();
   private InetSocketAddress address;
 
-  /** The open watch; null if there is none. */
+  /** The open watch that has not been reported as failed; null if there is none. */
   private DiscoveryStream currentWatch;
 
+  /** The watch that was reported as failed and still waits for its first list; null for none. */
+  private DiscoveryStream delayedWatch;
+
   /** True while the owner wants a watch, even if none is open because the last one failed. */
   private boolean isWatchEnabled;
 
   /** True from a failure until a list is received. Only changes of this state are logged. */
   private boolean isFailing;
 
-  /** The number of calls that have timed out since a list was received or the address changed. */
-  private int timeoutsSinceLastList;
+  /** The number of calls that were delayed since a list was received or the address changed. */
+  private int delaysSinceLastList;
 
   /**
    * Creates a client that makes no call until {@link #watch} or {@link #fetch} is called.
@@ -46,8 +53,8 @@
    * @param bootstrap connects to discovery; its group has one event loop
    * @param isPushed true if an agent on this machine pushes the list, false if a discovery service
    *     is polled
-   * @param firstByteTimeoutMillis the maximum time from a request to the first byte of its
-   *     response, in ms
+   * @param firstByteTimeoutMillis the time from a request to the first byte of its response after
+   *     which the call counts as delayed, in ms
    * @param revision supplies the revision after which a watch requests changes; 0 requests the
    *     complete list
    * @param updates receives every list as {@link UpdateKind#FULL} or {@link UpdateKind#DELTA}, and
@@ -72,37 +79,57 @@
   public void changeAddress(InetSocketAddress newAddress) {
     if (!newAddress.equals(address)) {
       address = newAddress;
-      timeoutsSinceLastList = 0;
-      watch(isWatchEnabled);
+      delaysSinceLastList = 0;
+      stopDelayedWatch();
+      restartWatch();
     }
   }
 
   @Override
   public void watch(boolean enabled) {
     isWatchEnabled = enabled;
+    if (!enabled) {
+      stopDelayedWatch();
+      stopCurrentWatch();
+    } else if (currentWatch == null || !currentWatch.hasReceivedList()) {
+      openWatch();
+    }
+  }
+
+  /** Replaces the watch that has not been reported as failed, if there is one, by a new one. */
+  private void openWatch() {
+    stopCurrentWatch();
+    currentWatch =
+        DiscoveryStream.newWatch(
+            bootstrap, address, revision.getAsLong(), limits(), streamListener);
+    currentWatch.open();
+  }
+
+  private void stopCurrentWatch() {
     if (currentWatch != null) {
       currentWatch.stop();
       currentWatch = null;
     }
-    if (enabled) {
-      currentWatch =
-          DiscoveryStream.newWatch(
-              bootstrap, address, revision.getAsLong(), limits(), streamListener);
-      currentWatch.open();
+  }
+
+  private void stopDelayedWatch() {
+    if (delayedWatch != null) {
+      delayedWatch.stop();
+      delayedWatch = null;
     }
   }
 
   /** Opens a watch if one is enabled and none is open. */
   public void resumeWatch() {
     if (isWatchEnabled && currentWatch == null) {
-      watch(true);
+      openWatch();
     }
   }
 
   /** Replaces the watch by a new one if a watch is enabled. */
   public void restartWatch() {
     if (isWatchEnabled) {
-      watch(true);
+      openWatch();
     }
   }
 
@@ -113,7 +140,7 @@
 
   private StreamLimits limits() {
     return new StreamLimits(
-        DiscoveryTimeouts.firstListTimeoutMillis(isPushed, timeoutsSinceLastList),
+        DiscoveryTimeouts.firstListTimeoutMillis(isPushed, delaysSinceLastList),
         firstByteTimeoutMillis);
   }
 
@@ -121,23 +148,53 @@
   private final class StreamListener implements DiscoveryStream.Listener {
 
     @Override
-    public void listReceived(EndpointList list) {
+    public void listReceived(DiscoveryStream stream, EndpointList list) {
+      if (stream == delayedWatch) {
+        delayedWatch = null;
+        stopCurrentWatch();
+        currentWatch = stream;
+      } else if (stream == currentWatch) {
+        stopDelayedWatch();
+      }
       if (isFailing) {
         LOG.info("discovery_recovered address=" + address);
         isFailing = false;
       }
-      timeoutsSinceLastList = 0;
+      delaysSinceLastList = 0;
       updates.accept(list.complete() ? UpdateKind.FULL : UpdateKind.DELTA, list);
     }
 
+    @Override
+    public void delayed(DiscoveryStream stream) {
+      if (stream != currentWatch) {
+        return; // A fetch has no successor that might be answered earlier.
+      }
+      delaysSinceLastList++;
+      currentWatch = null;
+      if (delayedWatch == null) {
+        delayedWatch = stream;
+      } else {
+        stream.stop();
+      }
+      reportFailure(DiscoveryFailure.SILENT, null);
+    }
+
     @Override
     public void failed(DiscoveryStream stream, DiscoveryFailure failure, String detail) {
+      if (stream == delayedWatch) {
+        delayedWatch = null; // It was reported when it was delayed.
+        return;
+      }
       if (failure.isTimeout() && !stream.hasReceivedList()) {
-        timeoutsSinceLastList++;
+        delaysSinceLastList++;
       }
       if (currentWatch == stream) {
         currentWatch = null;
       }
+      reportFailure(failure, detail);
+    }
+
+    private void reportFailure(DiscoveryFailure failure, String detail) {
       if (!isFailing) {
         LOG.warning("discovery_failed reason=\"" + failure.reason() + "\"" + formatDetail(detail));
         isFailing = true;
--- a/src/main/java/loadbalancer/discovery/DiscoveryStream.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryStream.java
@@ -32,16 +32,22 @@
 
 /**
  * One call to discovery on its own connection: either a fetch, which ends with its response, or a
- * watch, whose response must not end. A stream fails at most once, and reports nothing after it has
- * failed or been stopped. All methods must be called on the event loop.
+ * watch, whose response must not end. A stream is delayed at most once and fails at most once, and
+ * reports nothing after it has failed or been stopped. All methods must be called on the event
+ * loop.
  */
 final class DiscoveryStream extends SimpleChannelInboundHandler<HttpObject> {
 
-  /** Receives the events of a stream. Both methods may stop the stream and open others. */
+  /** Receives the events of a stream. All methods may stop the stream and open others. */
   interface Listener {
 
     /** Called when a list has been received. */
-    void listReceived(EndpointList list);
+    void listReceived(DiscoveryStream stream, EndpointList list);
+
+    /**
+     * Called when the time for the first list is over. The stream stays open and may yet get it.
+     */
+    void delayed(DiscoveryStream stream);
 
     /**
      * Called when the stream has failed and closed its connection.
@@ -63,6 +69,7 @@
   private final EndpointListFramer framer = new EndpointListFramer();
   private Channel channel;
   private Future<?> limitCheck;
+  private boolean isDelayReported;
   private boolean hasEnded;
 
   private DiscoveryStream(
@@ -154,7 +161,7 @@
   }
 
   private void checkLimits() {
-    if (limits.exceededLimit() == null) {
+    if (!isDelayDue() && limits.exceededLimit() == null) {
       return;
     }
     // Data may have arrived that a lagging event loop has not read yet.
@@ -162,9 +169,16 @@
     DiscoveryFailure exceeded = limits.exceededLimit();
     if (exceeded != null) {
       fail(exceeded, null);
+    } else if (!hasEnded && isDelayDue()) {
+      isDelayReported = true;
+      listener.delayed(this);
     }
   }
 
+  private boolean isDelayDue() {
+    return !isDelayReported && limits.isDelayed();
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     limits.received();
@@ -206,7 +220,7 @@
       return;
     }
     limits.listAccepted();
-    listener.listReceived(list);
+    listener.listReceived(this, list);
   }
 
   @Override
--- a/src/main/java/loadbalancer/discovery/DiscoveryTimeouts.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryTimeouts.java
@@ -10,17 +10,23 @@
   /** The time within which a change must arrive once discovery has it and is reachable. */
   static final long UPDATE_DEADLINE_MILLIS = 6000;
 
+  /**
+   * The longest time for which a call is kept that waits for its first list, beside a newer one: a
+   * discovery that is slow answers it, while one that has lost it may answer the newer one.
+   */
+  static final long MAX_FIRST_LIST_WAIT_MILLIS = 5200;
+
   /**
    * The time without received data after which a call that has received a list fails, and the
-   * maximum of the time for the first list of a call where the list is polled. Discovery writes a
-   * line every 2 s. The limit is far below the deadline for updates because the watch that replaces
-   * a failed one may have a dead connection as well.
+   * maximum of the time after which a newer call is made where the list is polled. Discovery writes
+   * a line every 2 s. The limit is far below the deadline for updates because the watch that
+   * replaces a failed one may have a dead connection as well.
    */
   static final long SILENCE_TIMEOUT_MILLIS = 2800;
 
   /**
    * The time for the first list of a watch where the list is pushed. The agent on this machine
-   * responds immediately, so a watch that has no list by then counts as failed.
+   * responds immediately, so a watch that has no list by then counts as delayed.
    */
   public static final long AGENT_FIRST_LIST_TIMEOUT_MILLIS = 750;
 
@@ -32,9 +38,9 @@
   private static final double AGENT_FIRST_BYTE_FRACTION = 0.4;
 
   /**
-   * The time for the first list of a call where the list is polled, if no call has timed out since
-   * the last list. The discovery service queues calls, so the time doubles with every timeout: with
-   * a constant timeout no call would get through a long queue.
+   * The time for the first list of a call where the list is polled, if no call was delayed since
+   * the last list. The discovery service queues calls, so the time doubles with every delayed call:
+   * with a constant time the queue would grow.
    */
   static final long POLL_FIRST_LIST_TIMEOUT_MILLIS = 1400;
 
@@ -66,16 +72,17 @@
   }
 
   /**
-   * Returns the maximum time until a call receives its first list.
+   * Returns the time for the first list of a call, after which the call counts as delayed and a
+   * newer one is made.
    *
    * @param isPushed whether the list is pushed by an agent on this machine
-   * @param timeoutsSinceLastList the number of calls that timed out since the last list
+   * @param delaysSinceLastList the number of calls that were delayed since the last list
    */
-  static long firstListTimeoutMillis(boolean isPushed, int timeoutsSinceLastList) {
+  static long firstListTimeoutMillis(boolean isPushed, int delaysSinceLastList) {
     if (isPushed) {
       return AGENT_FIRST_LIST_TIMEOUT_MILLIS;
     }
-    int doublings = Math.min(timeoutsSinceLastList, MAX_DOUBLINGS);
+    int doublings = Math.min(delaysSinceLastList, MAX_DOUBLINGS);
     return Math.min(SILENCE_TIMEOUT_MILLIS, POLL_FIRST_LIST_TIMEOUT_MILLIS << doublings);
   }
 }
--- a/src/main/java/loadbalancer/discovery/EndpointSource.java
+++ b/src/main/java/loadbalancer/discovery/EndpointSource.java
@@ -4,7 +4,8 @@
 public interface EndpointSource {
 
   /**
-   * Starts or ends a watch on the list. Starting replaces a watch that is already open.
+   * Starts or ends a watch on the list. Starting replaces an open watch unless it has received a
+   * list.
    *
    * @param enabled true to start a watch, false to end it
    */
--- a/src/main/java/loadbalancer/discovery/StreamLimits.java
+++ b/src/main/java/loadbalancer/discovery/StreamLimits.java
@@ -4,7 +4,8 @@
 
 /**
  * Tracks the time limits of one call. TCP does not always report that the peer is gone, so a call
- * fails if it receives no data, no first list or only a part of a list in time.
+ * is delayed if it receives no first list in time, and fails if it receives none for much longer,
+ * no further data or only a part of a list.
  */
 final class StreamLimits {
 
@@ -26,9 +27,10 @@
    * Creates the limits of a call that is opened now. The time for the first list runs from now on,
    * the time for the first byte from {@link #requestSent}.
    *
-   * @param firstListTimeoutMillis the maximum time until the first list, in ms
-   * @param firstByteTimeoutMillis the maximum time from the request to the first byte of the
-   *     response, in ms
+   * @param firstListTimeoutMillis the time until the first list after which the call is delayed, in
+   *     ms
+   * @param firstByteTimeoutMillis the time from the request to the first byte of the response after
+   *     which the call is delayed, in ms
    */
   StreamLimits(long firstListTimeoutMillis, long firstByteTimeoutMillis) {
     this.firstListTimeoutMillis = firstListTimeoutMillis;
@@ -69,6 +71,20 @@
     return hasReceivedList;
   }
 
+  /**
+   * Returns whether the time for the first byte or for the first list is over without a list. Empty
+   * lines do not extend the time.
+   */
+  boolean isDelayed() {
+    if (hasReceivedList) {
+      return false;
+    }
+    boolean lacksFirstByte =
+        awaitingResponseSinceNanos != 0
+            && hasElapsed(awaitingResponseSinceNanos, firstByteTimeoutMillis);
+    return lacksFirstByte || hasElapsed(openedNanos, firstListTimeoutMillis);
+  }
+
   /** Returns the failure for the limit that is exceeded, or null if none is. */
   DiscoveryFailure exceededLimit() {
     if (isSilent()) {
@@ -80,18 +96,11 @@
     return isOverdue ? DiscoveryFailure.LIST_INCOMPLETE : null;
   }
 
-  /**
-   * Returns whether the time for the first byte, the first list or further data is over. Before the
-   * first list, empty lines do not extend the time.
-   */
+  /** Returns whether the longest time for the first list, or for further data, is over. */
   private boolean isSilent() {
-    if (awaitingResponseSinceNanos != 0
-        && hasElapsed(awaitingResponseSinceNanos, firstByteTimeoutMillis)) {
-      return true;
-    }
     return hasReceivedList
         ? hasElapsed(lastReceivedNanos, DiscoveryTimeouts.SILENCE_TIMEOUT_MILLIS)
-        : hasElapsed(openedNanos, firstListTimeoutMillis);
+        : hasElapsed(openedNanos, DiscoveryTimeouts.MAX_FIRST_LIST_WAIT_MILLIS);
   }
 
   private static boolean hasElapsed(long sinceNanos, long limitMillis) {
--- a/src/test/java/loadbalancer/discovery/DiscoveryTimeoutsTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryTimeoutsTest.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.decision.DiscoveryPoller;
 import loadbalancer.proxy.AgentRetryPolicy;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -12,6 +13,9 @@
 /** Tests the sums of timeouts and backoffs over the worst sequences of failures. */
 class DiscoveryTimeoutsTest {
 
+  /** The longest wait of a call at a slow discovery that is survived. */
+  private static final long LONGEST_WAIT_MILLIS = 5000;
+
   /** Enough consecutive failures for every backoff and timeout to reach its maximum. */
   private static final int MANY_FAILURES = 20;
 
@@ -50,6 +54,24 @@
     assertWithinDeadline("outage", outageMillis + 2 * marginMillis);
   }
 
+  /**
+   * A call that waits for up to 5 s is kept until its list comes. One that is never answered takes
+   * the place of such a call for less time than a change may take.
+   */
+  @Test
+  void delayedCallIsKeptForLongWaitsAndForLessThanUpdateDeadline() {
+    long checkMillis = DiscoveryTimeouts.CHECK_INTERVAL_MILLIS;
+    assertTrue(DiscoveryTimeouts.MAX_FIRST_LIST_WAIT_MILLIS - checkMillis > LONGEST_WAIT_MILLIS);
+    assertWithinDeadline(
+        "an unanswered call", DiscoveryTimeouts.MAX_FIRST_LIST_WAIT_MILLIS + checkMillis);
+    // A delayed call is not given up before the newer one is made.
+    for (boolean isPushed : new boolean[] {true, false}) {
+      assertTrue(
+          DiscoveryTimeouts.firstListTimeoutMillis(isPushed, MANY_FAILURES)
+              < DiscoveryTimeouts.MAX_FIRST_LIST_WAIT_MILLIS);
+    }
+  }
+
   /**
    * The agent leaves a call of this process unanswered and learns of a drain at the same time,
    * which starts the grace period of the drain. The retry of the call must be sent early enough to
