Be ready without a ready endpoint, and reject requests at once then

What callers saw: a process that started while all endpoints of its list drained, or with an empty list, answered health checks with 503 until one was ready, for 30 s and more.

Cause: readiness was the presence of a ready endpoint, whether or not discovery had been heard; and a first attempt stayed queued without regard to whether any endpoint is listed.

Without a ready endpoint requests are rejected at once, queued ones with the update that removes the last endpoint. no_endpoint_ready is logged at the start as well.

--- a/src/main/java/loadbalancer/decision/LoadBalancingEngine.java
+++ b/src/main/java/loadbalancer/decision/LoadBalancingEngine.java
@@ -54,6 +54,7 @@
       poller.onUpdate(update.kind());
       if (update.kind() != UpdateKind.FAILED) {
         registry.apply(update);
+        lifecycle.onEndpointsUpdated();
       }
     } else if (event instanceof Event.ClientDisconnected disconnect) {
       lifecycle.onClientDisconnected(disconnect.requestId());
--- a/src/main/java/loadbalancer/decision/RequestLifecycle.java
+++ b/src/main/java/loadbalancer/decision/RequestLifecycle.java
@@ -102,6 +102,13 @@
     advanceQueue();
   }
 
+  /** Rejects the queued requests if the update has left no ready endpoint. */
+  void onEndpointsUpdated() {
+    if (registry.ready.length == 0) {
+      List.copyOf(queue).forEach(this::advance);
+    }
+  }
+
   private void advanceQueue() {
     int tries = MAX_FAILED_QUEUE_TRIES;
     InFlightRequest request = queue.isEmpty() ? null : queue.first();
@@ -162,13 +169,14 @@
         || context.now >= lastStart;
   }
 
-  // Returns whether a request should not stay queued: it has waited for too long for its first
-  // attempt, or no endpoint is ready for another one.
+  // Returns whether a request should not stay queued: no endpoint is ready, or it has waited for
+  // too
+  // long for its first attempt.
   private boolean shouldStopWaiting(InFlightRequest request) {
     double maxWait = MAX_QUEUE_WAIT_FRACTION * request.type.latencyObjectiveNanos();
-    return request.attempts.isEmpty()
-        ? context.now >= request.arrivedAt + maxWait
-        : registry.ready.length == 0;
+    boolean hasWaitedTooLong =
+        request.attempts.isEmpty() && context.now >= request.arrivedAt + maxWait;
+    return hasWaitedTooLong || registry.ready.length == 0;
   }
 
   private boolean startAttempt(InFlightRequest request) {
--- a/src/main/java/loadbalancer/downstream/RequestHandler.java
+++ b/src/main/java/loadbalancer/downstream/RequestHandler.java
@@ -32,6 +32,6 @@
    */
   boolean mustNotRunAgain(String traceId);
 
-  /** Returns whether a request that arrived now could be served. */
-  boolean canServe();
+  /** Returns whether requests can be accepted. They may be rejected if no endpoint is ready. */
+  boolean isReady();
 }
--- a/src/main/java/loadbalancer/downstream/RequestRouter.java
+++ b/src/main/java/loadbalancer/downstream/RequestRouter.java
@@ -70,7 +70,7 @@
   }
 
   private LocalReply healthCheckReply() {
-    return listenerState.isServing() && handler.canServe()
+    return listenerState.isServing() && handler.isReady()
         ? new LocalReply(HttpResponseStatus.OK, "ok")
         : new LocalReply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not serving");
   }
--- a/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
+++ b/src/main/java/loadbalancer/proxy/DiscoveryWatch.java
@@ -87,9 +87,13 @@
     return client;
   }
 
-  /** Starts passing updates to a dispatcher, and opens the watch if the list is pushed. */
+  /**
+   * Starts passing updates to a dispatcher, which has the configured list, and opens the watch if
+   * the list is pushed.
+   */
   void start(RequestDispatcher dispatcher) {
     this.dispatcher = dispatcher;
+    listLog.checkReadyEndpoints();
     if (isPushed) {
       client.watch(true);
     }
--- a/src/main/java/loadbalancer/proxy/EndpointListLog.java
+++ b/src/main/java/loadbalancer/proxy/EndpointListLog.java
@@ -21,30 +21,36 @@
     this.directory = directory;
   }
 
-  /** Logs an update that the directory has just been given. */
+  /** Logs an update from discovery that the directory has just been given. */
   void updated(UpdateKind kind, EndpointList list) {
-    int ready = directory.readyCount();
-    String state =
-        " known_revision="
-            + directory.revision()
-            + " endpoints="
-            + directory.size()
-            + " ready="
-            + ready;
     if (kind == UpdateKind.FULL) {
       LOG.info(
           "endpoint_list_received revision="
               + list.revision()
               + " members="
               + list.members().size()
-              + state);
+              + directoryFields());
     }
-    boolean hasNone = ready == 0;
+    checkReadyEndpoints();
+  }
+
+  /** Logs whether there is a ready endpoint if that has changed. */
+  void checkReadyEndpoints() {
+    boolean hasNone = !directory.hasReadyEndpoint();
     if (hasNone && !isWithoutReadyEndpoint) {
-      LOG.warning("no_endpoint_ready" + state);
+      LOG.warning("no_endpoint_ready" + directoryFields());
     } else if (!hasNone && isWithoutReadyEndpoint) {
-      LOG.info("endpoint_ready" + state);
+      LOG.info("endpoint_ready" + directoryFields());
     }
     isWithoutReadyEndpoint = hasNone;
   }
+
+  private String directoryFields() {
+    return " known_revision="
+        + directory.revision()
+        + " endpoints="
+        + directory.size()
+        + " ready="
+        + directory.readyCount();
+  }
 }
--- a/src/main/java/loadbalancer/proxy/RequestDispatcher.java
+++ b/src/main/java/loadbalancer/proxy/RequestDispatcher.java
@@ -35,6 +35,7 @@
   private final RequestCompleter completer;
   private final AttemptRunner attempts;
   private final EventQueue events;
+  private final Readiness readiness;
   private long acceptedCount;
   private boolean isExpired;
 
@@ -55,6 +56,7 @@
     this.completer = completer;
     this.attempts = attempts;
     this.events = events;
+    readiness = new Readiness(clock, directory);
   }
 
   @Override
@@ -125,6 +127,9 @@
       events.enqueue(() -> new EndpointListUpdate(kind, List.of()));
       return;
     }
+    if (kind != UpdateKind.CACHED) {
+      readiness.discoveryHeard();
+    }
     EndpointListUpdate update = directory.apply(kind, list);
     events.enqueue(() -> update);
     // The update event is queued first, so that the engine knows why attempts that were connecting
@@ -143,8 +148,8 @@
   }
 
   @Override
-  public boolean canServe() {
-    return directory.hasReadyEndpoint();
+  public boolean isReady() {
+    return readiness.isReady();
   }
 
   /** Returns the number of requests without a final response or with an attempt in flight. */
