Excuse a soak request lost to a kill by the time before its write

The client reads the clock after the write, on a machine with more processes than cores, and the checker allowed 50 ms for that. A process that has ended accepts no connection, so the write cannot have come after its end; the reading did.

The client now also reads the clock right before the write of the last byte, and the checker goes by that time, without a tolerance.

--- a/soak/src/main/java/loadbalancer/soak/ClientWorker.java
+++ b/soak/src/main/java/loadbalancer/soak/ClientWorker.java
@@ -139,9 +139,11 @@
     record.firstOnConnection = !hasSentRequest;
     String text = record.toHttp();
     int cut = inPieces ? 1 + random.nextInt(text.length() - 1) : text.length();
+    record.writeStartedNanos = System.nanoTime();
     connection.write(text.substring(0, cut));
     if (cut < text.length()) {
       sleep(random.nextInt(100));
+      record.writeStartedNanos = System.nanoTime();
       connection.write(text.substring(cut));
     }
     record.sentNanos = System.nanoTime();
@@ -224,6 +226,7 @@
       burst.add(record);
       text.append(record.toHttp());
     }
+    burst.forEach(record -> record.writeStartedNanos = System.nanoTime());
     connection.write(text.toString());
     hasSentRequest = true;
     burst.forEach(record -> record.sentNanos = System.nanoTime());
--- a/soak/src/main/java/loadbalancer/soak/ProxyEventLog.java
+++ b/soak/src/main/java/loadbalancer/soak/ProxyEventLog.java
@@ -19,9 +19,6 @@
   /** Maximum delay of SIGKILL beyond the time at which it is due. */
   private static final long MAX_KILL_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-  /** Maximum delay between a client's write of a request and its reading of the clock. */
-  private static final long MAX_CLOCK_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
   /** A time interval between two values of {@link System#nanoTime()}. */
   record Interval(long fromNanos, long toNanos) {
     boolean overlaps(long from, long to) {
@@ -77,20 +74,20 @@
    * SIGTERM.
    */
   @Override
-  public synchronized boolean wasKilledDuring(long sentNanos, long endNanos) {
+  public synchronized boolean wasKilledDuring(long writeStartedNanos, long endNanos) {
     return kills.stream()
         .anyMatch(
             kill ->
-                kill.overlaps(sentNanos - MAX_CLOCK_DELAY_NANOS, endNanos)
-                    && !isResponseRequiredDespiteKill(sentNanos, kill.fromNanos()));
+                kill.overlaps(writeStartedNanos, endNanos)
+                    && !isResponseRequiredDespiteKill(writeStartedNanos, kill.fromNanos()));
   }
 
-  private boolean isResponseRequiredDespiteKill(long sentNanos, long killNanos) {
+  private boolean isResponseRequiredDespiteKill(long writeStartedNanos, long killNanos) {
     return terminations.stream()
         .anyMatch(
             term ->
                 killNanos > term
                     && killNanos - term < killAfterTermNanos + MAX_KILL_DELAY_NANOS
-                    && sentNanos - term > RESPONSE_REQUIRED_AFTER_TERM_NANOS);
+                    && writeStartedNanos - term > RESPONSE_REQUIRED_AFTER_TERM_NANOS);
   }
 }
--- a/soak/src/main/java/loadbalancer/soak/ProxyHistory.java
+++ b/soak/src/main/java/loadbalancer/soak/ProxyHistory.java
@@ -7,9 +7,12 @@
 interface ProxyHistory {
 
   /**
-   * Returns whether a SIGKILL excuses the loss of a request that was sent and ended at these times.
+   * Returns whether a SIGKILL excuses the loss of a request.
+   *
+   * @param writeStartedNanos the time right before the write of its last byte
+   * @param endNanos the time at which its client learned of the loss
    */
-  boolean wasKilledDuring(long sentNanos, long endNanos);
+  boolean wasKilledDuring(long writeStartedNanos, long endNanos);
 
   /** Returns whether the process was stopped at any time in an interval. */
   boolean wasPaused(long fromNanos, long toNanos);
--- a/soak/src/main/java/loadbalancer/soak/RequestRecord.java
+++ b/soak/src/main/java/loadbalancer/soak/RequestRecord.java
@@ -33,7 +33,13 @@
   final List<String> events = new ArrayList<>(2);
   Outcome outcome = Outcome.NOT_SENT;
   boolean firstOnConnection;
+
+  /** The time right before the write of the request's last byte. */
+  long writeStartedNanos;
+
+  /** A time after that write; a busy machine may delay the reading of the clock. */
   long sentNanos;
+
   long endNanos;
   long closedNanos;
   int status;
--- a/soak/src/test/java/loadbalancer/soak/InvariantCheckerTest.java
+++ b/soak/src/test/java/loadbalancer/soak/InvariantCheckerTest.java
@@ -24,7 +24,7 @@
   private final ProxyHistory history =
       new ProxyHistory() {
         @Override
-        public boolean wasKilledDuring(long sentNanos, long endNanos) {
+        public boolean wasKilledDuring(long writeStartedNanos, long endNanos) {
           return killed;
         }
 
