Share the recording engine of the tests of endpoint lists

Four tests wrapped the production engine to record endpoint list updates, each in its own way. They use one fixture now, which fails at once if no update comes. No assertion changed.

--- a/src/test/java/loadbalancer/discovery/DiscoveryRecoveryTest.java
+++ b/src/test/java/loadbalancer/discovery/DiscoveryRecoveryTest.java
@@ -12,23 +12,19 @@
 
 import java.util.EnumMap;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import loadbalancer.config.BalancerConfig;
-import loadbalancer.decision.LoadBalancingEngine;
-import loadbalancer.decision.api.DecisionEngine;
-import loadbalancer.decision.api.Event.EndpointListUpdate;
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.testing.DiscoveryMessages;
 import loadbalancer.testing.FakeServer;
 import loadbalancer.testing.ProxyFixture;
 import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.RecordingEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -161,27 +157,13 @@
             connection.awaitClose();
           }
         };
-    BlockingQueue<EndpointListUpdate> fullUpdates = new LinkedBlockingQueue<>();
     try (FakeServer discovery = new FakeServer(script)) {
       BalancerConfig config = DiscoveryTestSupport.config(discovery, mode);
-      try (ProxyFixture proxy = new ProxyFixture(config, recordingEngine(config, fullUpdates))) {
-        EndpointListUpdate update =
-            fullUpdates.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
-        assertEquals("FULL 1 DRAINING", describe(update));
+      RecordingEngine engine = new RecordingEngine(config, UpdateKind.FULL);
+      try (ProxyFixture proxy = new ProxyFixture(config, engine)) {
+        assertEquals("FULL 1 DRAINING", describe(engine.awaitUpdate()));
         return millisSince(lastFailureStartNanos);
       }
     }
   }
-
-  /** Returns the production engine, wrapped to record complete lists. */
-  private static DecisionEngine recordingEngine(
-      BalancerConfig config, BlockingQueue<EndpointListUpdate> fullUpdates) {
-    DecisionEngine engine = new LoadBalancingEngine(config.settings(), config.seed());
-    return (nowNanos, event, actionSink) -> {
-      if (event instanceof EndpointListUpdate update && update.kind() == UpdateKind.FULL) {
-        fullUpdates.add(update);
-      }
-      engine.handle(nowNanos, event, actionSink);
-    };
-  }
 }
--- a/src/test/java/loadbalancer/discovery/SlowDiscoveryTest.java
+++ b/src/test/java/loadbalancer/discovery/SlowDiscoveryTest.java
@@ -7,22 +7,18 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import loadbalancer.config.BalancerConfig;
-import loadbalancer.decision.LoadBalancingEngine;
-import loadbalancer.decision.api.DecisionEngine;
-import loadbalancer.decision.api.Event.EndpointListUpdate;
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.testing.DiscoveryMessages;
 import loadbalancer.testing.FakeServer;
 import loadbalancer.testing.ProxyFixture;
+import loadbalancer.testing.RecordingEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -113,35 +109,16 @@
               DiscoveryMessages.chunk(ProxyFixture.endpointListJson(43, false, DRAINING_MEMBER)));
           connection.awaitClose();
         };
-    BlockingQueue<EndpointListUpdate> updates = new LinkedBlockingQueue<>();
     try (FakeServer discovery = new FakeServer(script)) {
       BalancerConfig config = DiscoveryTestSupport.config(discovery, scenario.mode());
-      try (ProxyFixture proxy = new ProxyFixture(config, recordingEngine(config, updates))) {
-        assertEquals("FULL 1 READY", describe(await(updates)));
+      RecordingEngine engine = new RecordingEngine(config, UpdateKind.FULL, UpdateKind.DELTA);
+      try (ProxyFixture proxy = new ProxyFixture(config, engine)) {
+        assertEquals("FULL 1 READY", describe(engine.awaitUpdate()));
         long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - answeringSinceNanos.get());
         int callsBeforeList = callCount.get();
-        String nextUpdate = describe(await(updates));
+        String nextUpdate = describe(engine.awaitUpdate());
         return new Outcome(millis, callsBeforeList, callCount.get() - callsBeforeList, nextUpdate);
       }
     }
   }
-
-  private static EndpointListUpdate await(BlockingQueue<EndpointListUpdate> updates)
-      throws InterruptedException {
-    EndpointListUpdate update = updates.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    return update == null ? new EndpointListUpdate(UpdateKind.FAILED, List.of()) : update;
-  }
-
-  /** Returns the production engine, wrapped to record the lists from discovery. */
-  private static DecisionEngine recordingEngine(
-      BalancerConfig config, BlockingQueue<EndpointListUpdate> updates) {
-    DecisionEngine engine = new LoadBalancingEngine(config.settings(), config.seed());
-    return (nowNanos, event, actions) -> {
-      if (event instanceof EndpointListUpdate update
-          && (update.kind() == UpdateKind.FULL || update.kind() == UpdateKind.DELTA)) {
-        updates.add(update);
-      }
-      engine.handle(nowNanos, event, actions);
-    };
-  }
 }
--- a/src/test/java/loadbalancer/proxy/AgentWatchTest.java
+++ b/src/test/java/loadbalancer/proxy/AgentWatchTest.java
@@ -6,14 +6,11 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import loadbalancer.config.BalancerConfig;
-import loadbalancer.decision.LoadBalancingEngine;
 import loadbalancer.decision.api.EndpointState;
 import loadbalancer.decision.api.Event.EndpointListUpdate;
 import loadbalancer.decision.api.UpdateKind;
@@ -22,6 +19,7 @@
 import loadbalancer.testing.ProxyFixture;
 import loadbalancer.testing.ProxyFixture.Client;
 import loadbalancer.testing.ProxyFixture.ScriptedEngine;
+import loadbalancer.testing.RecordingEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -202,26 +200,16 @@
       BalancerConfig config =
           pushedConfig(
               discovery, ProxyFixture.endpointJson("s-leaves", omitted.address(), "ready"));
-      LoadBalancingEngine realEngine = new LoadBalancingEngine(config.settings(), config.seed());
-      BlockingQueue<EndpointListUpdate> updates = new LinkedBlockingQueue<>();
-      try (ProxyFixture proxy =
-              new ProxyFixture(
-                  config,
-                  (now, event, out) -> {
-                    realEngine.handle(now, event, out);
-                    if (event instanceof EndpointListUpdate update) {
-                      updates.add(update);
-                    }
-                  });
+      RecordingEngine engine = new RecordingEngine(config, UpdateKind.values());
+      try (ProxyFixture proxy = new ProxyFixture(config, engine);
           Client client = proxy.client()) {
-        assertEquals(UpdateKind.CACHED, updates.take().kind());
-        assertEquals(UpdateKind.FULL, updates.take().kind());
+        assertEquals(UpdateKind.CACHED, engine.awaitUpdate().kind());
+        assertEquals(UpdateKind.FULL, engine.awaitUpdate().kind());
         for (int i = 0; omitted.requests.isEmpty() || remaining.requests.isEmpty(); i++) {
           client.exchange(ProxyFixture.get("t" + i, "Cookie: sid=" + i + "\r\n"));
         }
         firstWatchEndRequested.countDown();
-        assertEquals(
-            1, updates.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS).endpoints().size());
+        assertEquals(1, engine.awaitUpdate().endpoints().size());
         omitted.requests.clear();
         assertServedByRemainingEndpoint(client);
         assertTrue(omitted.requests.isEmpty());
--- a/src/test/java/loadbalancer/proxy/EmptyEndpointListTest.java
+++ b/src/test/java/loadbalancer/proxy/EmptyEndpointListTest.java
@@ -1,25 +1,21 @@
 package loadbalancer.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import loadbalancer.config.BalancerConfig;
-import loadbalancer.decision.LoadBalancingEngine;
-import loadbalancer.decision.api.DecisionEngine;
 import loadbalancer.decision.api.Event.EndpointListUpdate;
 import loadbalancer.decision.api.UpdateKind;
 import loadbalancer.testing.DiscoveryMessages;
 import loadbalancer.testing.FakeServer;
 import loadbalancer.testing.ProxyFixture;
 import loadbalancer.testing.ProxyFixture.Client;
+import loadbalancer.testing.RecordingEngine;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -35,24 +31,16 @@
   private static final int REQUESTS = 20;
   private static final String EMPTY_LIST = ProxyFixture.endpointListJson(43, true);
 
-  private final BlockingQueue<EndpointListUpdate> updates = new LinkedBlockingQueue<>();
   private final CountDownLatch isFirstWatchEnding = new CountDownLatch(1);
   private final CountDownLatch isReplacementAdded = new CountDownLatch(1);
 
-  /** Returns the real decision engine, wrapped to record the updates that it has handled. */
-  private DecisionEngine recordingEngine(BalancerConfig config) {
-    DecisionEngine engine = new LoadBalancingEngine(config.settings(), config.seed());
-    return (nowNanos, event, actions) -> {
-      engine.handle(nowNanos, event, actions);
-      if (event instanceof EndpointListUpdate update && update.kind() != UpdateKind.FAILED) {
-        updates.add(update);
-      }
-    };
+  private static RecordingEngine recordingEngine(BalancerConfig config) {
+    return new RecordingEngine(config, UpdateKind.CACHED, UpdateKind.FULL, UpdateKind.DELTA);
   }
 
-  private void assertNextUpdate(UpdateKind kind, int endpoints) throws InterruptedException {
-    EndpointListUpdate update = updates.poll(ProxyFixture.TIMEOUT_SECONDS, TimeUnit.SECONDS);
-    assertNotNull(update, "no update arrived");
+  private static void assertNextUpdate(RecordingEngine engine, UpdateKind kind, int endpoints)
+      throws InterruptedException {
+    EndpointListUpdate update = engine.awaitUpdate();
     assertEquals(kind + " " + endpoints, update.kind() + " " + update.endpoints().size());
   }
 
@@ -102,18 +90,19 @@
       String replacementMember = ProxyFixture.endpointJson("s-1", replacement.address(), "ready");
       try (FakeServer discovery = discovery(omittedMember, replacementMember)) {
         BalancerConfig config = config(discovery, mode, omittedMember);
-        try (ProxyFixture proxy = new ProxyFixture(config, recordingEngine(config));
+        RecordingEngine engine = recordingEngine(config);
+        try (ProxyFixture proxy = new ProxyFixture(config, engine);
             Client client = proxy.client()) {
-          assertNextUpdate(UpdateKind.CACHED, 1);
-          assertNextUpdate(UpdateKind.FULL, 1);
+          assertNextUpdate(engine, UpdateKind.CACHED, 1);
+          assertNextUpdate(engine, UpdateKind.FULL, 1);
           assertTrue(exchange(client, "t-before").endsWith("\r\n\r\nomitted"));
           isFirstWatchEnding.countDown();
-          assertNextUpdate(UpdateKind.FULL, 0);
+          assertNextUpdate(engine, UpdateKind.FULL, 0);
           omitted.requests.clear();
           String rejection = exchange(client, "t-between");
           assertTrue(rejection.startsWith("HTTP/1.1 429 "), rejection);
           isReplacementAdded.countDown();
-          assertNextUpdate(UpdateKind.DELTA, 1);
+          assertNextUpdate(engine, UpdateKind.DELTA, 1);
           for (int i = 0; i < REQUESTS; i++) {
             String response = exchange(client, "t-after" + i);
             assertTrue(response.endsWith("\r\n\r\nreplacement"), response);
@@ -138,12 +127,13 @@
       String member = ProxyFixture.endpointJson("s-0", omitted.address(), "ready");
       try (FakeServer oldDiscovery = discovery(member, member)) {
         BalancerConfig config = config(oldDiscovery, "pushed", member);
-        try (ProxyFixture proxy = new ProxyFixture(config, recordingEngine(config));
+        RecordingEngine engine = recordingEngine(config);
+        try (ProxyFixture proxy = new ProxyFixture(config, engine);
             Client client = proxy.client()) {
-          assertNextUpdate(UpdateKind.CACHED, 1);
-          assertNextUpdate(UpdateKind.FULL, 1);
+          assertNextUpdate(engine, UpdateKind.CACHED, 1);
+          assertNextUpdate(engine, UpdateKind.FULL, 1);
           proxy.server.reload(() -> config(newDiscovery, "pushed", member));
-          assertNextUpdate(UpdateKind.FULL, 0);
+          assertNextUpdate(engine, UpdateKind.FULL, 0);
           String rejection = exchange(client, "t-after");
           assertTrue(rejection.startsWith("HTTP/1.1 429 "), rejection);
           assertTrue(omitted.requests.isEmpty(), "the omitted endpoint got a request");
