Let the soak test release all endpoints, and upstreams send surplus bytes

Faults that a reader found and the soak test did not: a complete list without members, and a part of a second response behind a response or a rejection.

RELEASE_ALL drains and replaces all endpoints that no other disruption holds; watches end instead of delivering the drains, and new ones start with a complete list that omits draining endpoints. Upstreams get the modes LEAVING_SURPLUS and REJECTING_WITH_SURPLUS.

--- a/soak/src/main/java/loadbalancer/soak/DiscoveryAgent.java
+++ b/soak/src/main/java/loadbalancer/soak/DiscoveryAgent.java
@@ -44,6 +44,7 @@
   private int revision;
   private boolean down;
   private boolean startsWithCompleteList;
+  private boolean endsWatchesOnChange;
 
   /** A response that stays open for changes of the list. A silent watch receives nothing more. */
   private static final class Watch {
@@ -87,7 +88,11 @@
     loop.execute(
         () -> {
           revision = Math.max(revision, newRevision);
-          watches.forEach(this::push);
+          if (endsWatchesOnChange) {
+            List.copyOf(watches).forEach(watch -> Sockets.reset(watch.channel));
+          } else {
+            watches.forEach(this::push);
+          }
         });
   }
 
@@ -121,6 +126,11 @@
     loop.execute(() -> startsWithCompleteList = complete);
   }
 
+  /** Sets whether open watches are reset instead of delivering a change. */
+  void setEndsWatchesOnChange(boolean ends) {
+    loop.execute(() -> endsWatchesOnChange = ends);
+  }
+
   /** Silences the currently open watches permanently. */
   void silenceWatches() {
     loop.execute(() -> watches.forEach(watch -> watch.silent = true));
--- a/soak/src/main/java/loadbalancer/soak/DisruptionInjector.java
+++ b/soak/src/main/java/loadbalancer/soak/DisruptionInjector.java
@@ -93,6 +93,7 @@
         proxy.agent().resetWatches();
       }
       case RELEASE -> endpoints.replace(disruption.target());
+      case RELEASE_ALL -> releaseAll();
       case ENDPOINT_RESTART -> endpoints.restart(disruption.target(), millis);
       case ENDPOINT_MODE ->
           endpoints.runInMode(disruption.target(), selectMode(disruption), millis);
@@ -178,6 +179,16 @@
     }
   }
 
+  private void releaseAll() throws InterruptedException {
+    proxies.forEach(proxy -> proxy.agent().setStartsWithCompleteList(true));
+    proxies.forEach(proxy -> proxy.agent().setEndsWatchesOnChange(true));
+    try {
+      endpoints.replaceAll();
+    } finally {
+      proxies.forEach(proxy -> proxy.agent().setEndsWatchesOnChange(false));
+    }
+  }
+
   private static FakeUpstream.Mode selectMode(Disruption disruption) {
     FakeUpstream.Mode[] modes = FakeUpstream.Mode.values();
     return modes[1 + disruption.variant() % (modes.length - 1)];
--- a/soak/src/main/java/loadbalancer/soak/DisruptionKind.java
+++ b/soak/src/main/java/loadbalancer/soak/DisruptionKind.java
@@ -36,6 +36,12 @@
   COMPLETE_LISTS,
   /** An endpoint is drained and removed, and a new one is added. */
   RELEASE,
+  /**
+   * All endpoints are drained and removed at once, and new ones are added. The watches of all
+   * proxies end instead of delivering the drains, and new watches start with a complete list that
+   * omits draining endpoints, which may be empty.
+   */
+  RELEASE_ALL,
   /** An endpoint is killed and restarted, so that it has to warm up. */
   ENDPOINT_RESTART,
   /** An endpoint responds incorrectly or not at all for some time. */
--- a/soak/src/main/java/loadbalancer/soak/EndpointFleet.java
+++ b/soak/src/main/java/loadbalancer/soak/EndpointFleet.java
@@ -73,14 +73,37 @@
     if (leaving == null) {
       return;
     }
-    publish(leaving, EndpointEntry.Phase.DRAINING, leaving.startedUnixMillis());
+    replace(List.of(leaving));
+  }
+
+  /**
+   * Drains and removes all upstreams that no other disruption has reserved, then adds as many new
+   * ones.
+   */
+  void replaceAll() throws InterruptedException {
+    List<FakeUpstream> leaving;
+    synchronized (this) {
+      leaving = List.copyOf(unreserved);
+      unreserved.clear();
+    }
+    replace(leaving);
+  }
+
+  private void replace(List<FakeUpstream> leaving) throws InterruptedException {
+    publishAll(leaving, EndpointEntry.Phase.DRAINING);
     Thread.sleep(DRAIN_MILLIS);
-    publish(leaving, EndpointEntry.Phase.GONE, leaving.startedUnixMillis());
-    leaving.kill();
+    publishAll(leaving, EndpointEntry.Phase.GONE);
+    leaving.forEach(FakeUpstream::kill);
     synchronized (this) {
-      all.remove(leaving);
+      all.removeAll(leaving);
+    }
+    for (int i = 0; i < leaving.size(); i++) {
+      add(System.currentTimeMillis());
     }
-    add(System.currentTimeMillis());
+  }
+
+  private void publishAll(List<FakeUpstream> upstreams, EndpointEntry.Phase phase) {
+    upstreams.forEach(upstream -> publish(upstream, phase, upstream.startedUnixMillis()));
   }
 
   /** Kills an upstream and restarts it after a time, so that it has to warm up. */
--- a/soak/src/main/java/loadbalancer/soak/FakeUpstream.java
+++ b/soak/src/main/java/loadbalancer/soak/FakeUpstream.java
@@ -38,9 +38,21 @@
     /** Sends half of the response and closes the connection. */
     TRUNCATING,
     /** Responds twice, the second time some milliseconds later. */
-    REPEATING
+    REPEATING,
+    /** Sends the first part of a second response right behind each response. */
+    LEAVING_SURPLUS,
+    /** Rejects as above, and sends the first part of a second rejection right behind each one. */
+    REJECTING_WITH_SURPLUS;
+
+    /** Returns whether requests run in this mode, as far as the proxy can know. */
+    boolean mayRunRequests() {
+      return this != REJECTING && this != REJECTING_WITH_SURPLUS;
+    }
   }
 
+  private static final String REJECTION =
+      "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 4\r\n\r\nfull";
+
   private static final int MAX_REQUEST_BYTES = 1 << 17;
   private static final int MAX_SECOND_RESPONSE_DELAY_MILLIS = 5;
 
@@ -164,7 +176,7 @@
               firstByteNanos,
               System.nanoTime(),
               remainingMillis(request),
-              now != Mode.REJECTING,
+              now.mayRunRequests(),
               now.toString()));
       respond(context.channel(), now, traceId);
     }
@@ -180,8 +192,7 @@
       switch (now) {
         case SERVING -> writeLater(channel, latencyMillis, ok);
         case FAILING -> write(channel, "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n");
-        case REJECTING ->
-            write(channel, "HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        case REJECTING -> write(channel, REJECTION);
         case HANGING -> {
           // No response is sent, and the connection stays open.
         }
@@ -194,9 +205,16 @@
           write(channel, ok);
           writeLater(channel, 1 + random.nextInt(MAX_SECOND_RESPONSE_DELAY_MILLIS), ok);
         }
+        case LEAVING_SURPLUS -> write(channel, ok + firstPart(ok));
+        case REJECTING_WITH_SURPLUS -> write(channel, REJECTION + firstPart(REJECTION));
       }
     }
 
+    /** Returns a part of a response, at least a byte and not all of it. */
+    private String firstPart(String response) {
+      return response.substring(0, 1 + random.nextInt(response.length() - 1));
+    }
+
     private void writeLater(Channel channel, long millis, String text) {
       loop.schedule(() -> write(channel, text), millis, TimeUnit.MILLISECONDS);
     }
