Count surplus responses in the pool, and shorten the queue's condition

ArchitectureTest: connections to endpoints may not use the telemetry package. The pool counts the connections that it closed because of surplus bytes, and the summary takes the count from it.

--- a/src/main/java/loadbalancer/decision/RequestLifecycle.java
+++ b/src/main/java/loadbalancer/decision/RequestLifecycle.java
@@ -169,14 +169,11 @@
         || context.now >= lastStart;
   }
 
-  // Returns whether a request should not stay queued: no endpoint is ready, or it has waited for
-  // too
-  // long for its first attempt.
+  // Returns whether a request should not stay queued: no endpoint is ready, or its wait is over.
   private boolean shouldStopWaiting(InFlightRequest request) {
     double maxWait = MAX_QUEUE_WAIT_FRACTION * request.type.latencyObjectiveNanos();
-    boolean hasWaitedTooLong =
-        request.attempts.isEmpty() && context.now >= request.arrivedAt + maxWait;
-    return hasWaitedTooLong || registry.ready.length == 0;
+    return registry.ready.length == 0
+        || (request.attempts.isEmpty() && context.now >= request.arrivedAt + maxWait);
   }
 
   private boolean startAttempt(InFlightRequest request) {
--- a/src/main/java/loadbalancer/proxy/ProxyComponents.java
+++ b/src/main/java/loadbalancer/proxy/ProxyComponents.java
@@ -20,7 +20,6 @@
 import loadbalancer.telemetry.EventLoopLagMonitor;
 import loadbalancer.telemetry.MemoryUsage;
 import loadbalancer.telemetry.RequestTrace;
-import loadbalancer.telemetry.UpstreamActivity;
 import loadbalancer.upstream.ConnectionPool;
 
 /**
@@ -114,7 +113,6 @@
       DescriptorBudget descriptors = new DescriptorBudget(limits.maxDescriptors());
       MemoryBudget bodyBudget = new MemoryBudget(limits.maxBodyBytes());
       MemoryBudget headBudget = new MemoryBudget(limits.maxHeadBytes());
-      UpstreamActivity upstreamActivity = new UpstreamActivity();
       ConnectionPool pool =
           new ConnectionPool(
               upstreams,
@@ -122,15 +120,14 @@
               settings.limits().connectTimeoutNanos(),
               upstreamIdleNanos,
               directory::isReady,
-              new MessageMemory(bodyBudget, headBudget),
-              upstreamActivity);
+              new MessageMemory(bodyBudget, headBudget));
       ClientActivity clients = new ClientActivity();
       RequestTrace trace =
           new RequestTrace(
               directory::name,
               MemoryUsage.ofProcess(bodyBudget::usedBytes, headBudget::usedBytes),
               clients,
-              upstreamActivity);
+              pool::takeSurplusResponses);
       loop.scheduleWithFixedDelay(
           () -> trace.periodPassed(clock.nowNanos()),
           SUMMARY_PERIOD_SECONDS,
--- a/src/main/java/loadbalancer/telemetry/RequestTrace.java
+++ b/src/main/java/loadbalancer/telemetry/RequestTrace.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.LongFunction;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -38,7 +39,7 @@
   private final LongFunction<String> endpointNames;
   private final MemoryUsage memoryUsage;
   private final ClientActivity clients;
-  private final UpstreamActivity upstreams;
+  private final IntSupplier surplusResponses;
   private final int[] attemptCounts = new int[STATUSES.length];
   private final int[] refusalCounts = new int[REFUSALS.length];
   private long periodEndNanos;
@@ -56,17 +57,18 @@
    *
    * @param endpointNames returns the name of the endpoint with a given id
    * @param clients the activity of client connections, whose periods are those of the trace
-   * @param upstreams the activity of connections to endpoints, whose periods are those of the trace
+   * @param surplusResponses returns how many connections to endpoints have been closed since the
+   *     last call because bytes followed a complete response
    */
   public RequestTrace(
       LongFunction<String> endpointNames,
       MemoryUsage memoryUsage,
       ClientActivity clients,
-      UpstreamActivity upstreams) {
+      IntSupplier surplusResponses) {
     this.endpointNames = endpointNames;
     this.memoryUsage = memoryUsage;
     this.clients = clients;
-    this.upstreams = upstreams;
+    this.surplusResponses = surplusResponses;
   }
 
   /** Counts an attempt by the status with which it ended. */
@@ -164,7 +166,10 @@
     for (AttemptRefusal refusal : REFUSALS) {
       appendCount(line, " unwritten_", refusal, refusalCounts[refusal.ordinal()]);
     }
-    upstreams.appendTo(line);
+    int surplus = surplusResponses.getAsInt();
+    if (surplus > 0) {
+      line.append(" surplus_responses=").append(surplus);
+    }
     line.append(" max_loop_lag_ms=").append(toMillis(maxLagNanos));
     clients.appendTo(line);
     log(line.append(' ').append(memoryUsage));
@@ -188,7 +193,6 @@
     Arrays.fill(attemptCounts, 0);
     Arrays.fill(refusalCounts, 0);
     clients.startPeriod();
-    upstreams.startPeriod();
   }
 
   private void logRequestIfAllowed(TracedRequest request, String status, long nowNanos) {
--- a/src/main/java/loadbalancer/upstream/ConnectionPool.java
+++ b/src/main/java/loadbalancer/upstream/ConnectionPool.java
@@ -18,7 +18,6 @@
 import loadbalancer.http.MessageMemory;
 import loadbalancer.net.ConnectFailures;
 import loadbalancer.net.DescriptorBudget;
-import loadbalancer.telemetry.UpstreamActivity;
 
 /**
  * A pool of connections to upstream endpoints. Each call is sent on a reusable idle connection if
@@ -49,7 +48,6 @@
    * @param upstreamIdleNanos the idle time after which upstreams close connections
    * @param isEndpointReady tests whether the endpoint with the given id accepts new requests
    * @param memory memory for responses
-   * @param activity counts what happens on the connections
    */
   public ConnectionPool(
       Bootstrap bootstrap,
@@ -57,11 +55,10 @@
       long connectTimeoutNanos,
       long upstreamIdleNanos,
       LongPredicate isEndpointReady,
-      MessageMemory memory,
-      UpstreamActivity activity) {
+      MessageMemory memory) {
     this.descriptors = descriptors;
     this.connectTimeoutNanos = connectTimeoutNanos;
-    idleConnections = new IdleConnections(upstreamIdleNanos, activity);
+    idleConnections = new IdleConnections(upstreamIdleNanos);
     loop = bootstrap.config().group().next();
     int connectTimeoutMillis = (int) TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos);
     this.bootstrap =
@@ -215,6 +212,14 @@
     idleConnections.closeAll(endpointId);
   }
 
+  /**
+   * Returns how many connections have been closed since the last call because bytes followed a
+   * complete response.
+   */
+  public int takeSurplusResponses() {
+    return idleConnections.takeSurplusResponses();
+  }
+
   /** Closes the connection that has been idle longest. Returns whether there was one. */
   public boolean closeLongestIdle() {
     return idleConnections.closeLongestIdle();
--- a/src/main/java/loadbalancer/upstream/IdleConnections.java
+++ b/src/main/java/loadbalancer/upstream/IdleConnections.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
-import loadbalancer.telemetry.UpstreamActivity;
 
 /**
  * The idle connections of all endpoints. Decides which of them may be reused for another call, and
@@ -26,19 +25,17 @@
   private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
   private final SecondResponseGuard secondResponseGuard = new SecondResponseGuard();
 
-  private final UpstreamActivity activity;
-
   /** The connections of each endpoint, most recently used first. */
   private final Map<Long, ArrayDeque<UpstreamConnection>> byEndpoint = new HashMap<>();
 
+  private int surplusResponses;
+
   /**
    * Creates an empty set of connections.
    *
    * @param upstreamIdleNanos the idle time after which upstreams close connections
-   * @param activity counts the surplus responses
    */
-  IdleConnections(long upstreamIdleNanos, UpstreamActivity activity) {
-    this.activity = activity;
+  IdleConnections(long upstreamIdleNanos) {
     idleTimeoutNanos = (long) (upstreamIdleNanos * IDLE_TIMEOUT_FRACTION);
   }
 
@@ -103,7 +100,14 @@
 
   /** Counts a connection on which bytes followed a complete response. */
   void recordSurplusResponse() {
-    activity.surplusResponseReceived();
+    surplusResponses++;
+  }
+
+  /** Returns the number of such connections since the last call. */
+  int takeSurplusResponses() {
+    int taken = surplusResponses;
+    surplusResponses = 0;
+    return taken;
   }
 
   /** Records unexpected bytes as a second response if the connection is idle. */
--- a/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
+++ b/src/test/java/loadbalancer/telemetry/RequestTraceTest.java
@@ -57,13 +57,13 @@
   private final List<String> lines = new ArrayList<>();
   private final Logger logger = Logger.getLogger(RequestTrace.class.getName());
   private final ClientActivity clients = new ClientActivity();
-  private final UpstreamActivity upstreams = new UpstreamActivity();
+  private int surplusResponses;
   private final RequestTrace trace =
       new RequestTrace(
           endpointId -> "s-" + endpointId,
           new MemoryUsage(() -> 6 << 20, () -> 300 << 10, () -> 7 << 10, () -> 9 << 20),
           clients,
-          upstreams);
+          this::takeSurplusResponses);
   private final Handler handler =
       new Handler() {
         @Override
@@ -78,6 +78,12 @@
         public void close() {}
       };
 
+  private int takeSurplusResponses() {
+    int taken = surplusResponses;
+    surplusResponses = 0;
+    return taken;
+  }
+
   @BeforeEach
   void addHandler() {
     logger.addHandler(handler);
@@ -129,7 +135,7 @@
   void onlyCountsRequestsServedInTimeOrRejectedAtOnce() {
     trace.attemptEnded(AttemptStatus.SUCCESS);
     trace.attemptEnded(AttemptStatus.REJECTED);
-    upstreams.surplusResponseReceived();
+    surplusResponses = 1;
     trace.timerFired(3 * MS);
     trace.responded(requestAcceptedAt("good", 0), HttpResponseStatus.OK, 400 * MS);
     trace.responded(
--- a/src/test/java/loadbalancer/upstream/ResponseSequenceTest.java
+++ b/src/test/java/loadbalancer/upstream/ResponseSequenceTest.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.TimeUnit;
 import loadbalancer.decision.api.AttemptStatus;
 import loadbalancer.http.MessageMemory;
-import loadbalancer.telemetry.UpstreamActivity;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -63,7 +62,7 @@
   /** A connection whose bytes are written by the test. */
   private static final class TestConnection {
 
-    final IdleConnections idle = new IdleConnections(UPSTREAM_IDLE_NANOS, new UpstreamActivity());
+    final IdleConnections idle = new IdleConnections(UPSTREAM_IDLE_NANOS);
     final EmbeddedChannel channel = new EmbeddedChannel();
     final UpstreamConnection connection =
         new UpstreamConnection(channel, idle, endpointId -> true, MessageMemory.unlimited());
@@ -152,6 +151,7 @@
     assertEquals(1, first.size(), "the response is complete");
     if (!input.surplus().isEmpty()) {
       assertFalse(test.channel.isActive(), "closed because of the surplus");
+      assertEquals(1, test.idle.takeSurplusResponses());
     }
     Thread.sleep(input.surplus().isEmpty() ? QUIET_PERIOD_MILLIS : 0);
     UpstreamConnection reused = test.idle.acquire(ENDPOINT_ID, test.channel.remoteAddress());
