--- a/soak/src/main/java/loadbalancer/soak/ClientWorker.java
+++ b/soak/src/main/java/loadbalancer/soak/ClientWorker.java
@@ -190,15 +190,7 @@
 
   private void receive(RequestRecord record) {
     Response response = connection.read(record.deadlineNanos() + WAIT_AFTER_DEADLINE_NANOS);
-    record.endNanos = System.nanoTime();
-    record.status = response.status();
-    record.body = response.body();
-    record.outcome =
-        switch (response.end()) {
-          case RESPONSE -> Outcome.RESPONSE;
-          case CLOSED -> Outcome.CLOSED;
-          case TIMEOUT -> Outcome.UNANSWERED;
-        };
+    record.end(response);
     lastResponseNanos = record.endNanos;
     if (record.outcome != Outcome.RESPONSE || !response.keepAlive()) {
       disconnect();
--- a/soak/src/main/java/loadbalancer/soak/RequestRecord.java
+++ b/soak/src/main/java/loadbalancer/soak/RequestRecord.java
@@ -53,6 +53,19 @@
     this.remainingMillis = remaining;
   }
 
+  /** Records the result of waiting for the response, which has just become known. */
+  void end(ClientConnection.Response response) {
+    endNanos = System.nanoTime();
+    status = response.status();
+    body = response.body();
+    outcome =
+        switch (response.end()) {
+          case RESPONSE -> Outcome.RESPONSE;
+          case CLOSED -> Outcome.CLOSED;
+          case TIMEOUT -> Outcome.UNANSWERED;
+        };
+  }
+
   /** Returns the HTTP/1.1 encoding of the request. */
   String toHttp() {
     StringBuilder text = new StringBuilder();
--- a/src/main/java/loadbalancer/discovery/DiscoveryClient.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryClient.java
@@ -100,8 +100,11 @@
   private void openWatch() {
     stopCurrentWatch();
     currentWatch =
-        DiscoveryStream.newWatch(
-            bootstrap, address, revision.getAsLong(), limits(), streamListener);
+        new DiscoveryStream(
+            bootstrap,
+            DiscoveryRequest.watch(address, revision.getAsLong()),
+            limits(),
+            streamListener);
     currentWatch.open();
   }
 
@@ -135,7 +138,8 @@
 
   @Override
   public void fetch() {
-    DiscoveryStream.newFetch(bootstrap, address, limits(), streamListener).open();
+    new DiscoveryStream(bootstrap, DiscoveryRequest.fetch(address), limits(), streamListener)
+        .open();
   }
 
   private StreamLimits limits() {
--- a/src/main/java/loadbalancer/discovery/DiscoveryStream.java
+++ b/src/main/java/loadbalancer/discovery/DiscoveryStream.java
@@ -10,20 +10,14 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import loadbalancer.json.JsonFields;
@@ -57,13 +51,10 @@
     void failed(DiscoveryStream stream, DiscoveryFailure failure, String detail);
   }
 
-  private static final String LIST_PATH = "/v1/servers";
   private static final JsonFactory JSON = new JsonFactory();
 
   private final Bootstrap bootstrap;
-  private final InetSocketAddress address;
-  private final String uri;
-  private final boolean isWatch;
+  private final DiscoveryRequest request;
   private final StreamLimits limits;
   private final Listener listener;
   private final EndpointListFramer framer = new EndpointListFramer();
@@ -72,41 +63,19 @@
   private boolean isDelayReported;
   private boolean hasEnded;
 
-  private DiscoveryStream(
-      Bootstrap bootstrap,
-      InetSocketAddress address,
-      String uri,
-      boolean isWatch,
-      StreamLimits limits,
-      Listener listener) {
+  /** Creates a call that has not been opened. */
+  DiscoveryStream(
+      Bootstrap bootstrap, DiscoveryRequest request, StreamLimits limits, Listener listener) {
     this.bootstrap = bootstrap;
-    this.address = address;
-    this.uri = uri;
-    this.isWatch = isWatch;
+    this.request = request;
     this.limits = limits;
     this.listener = listener;
   }
 
-  /** Creates a call that requests the complete list once. */
-  static DiscoveryStream newFetch(
-      Bootstrap bootstrap, InetSocketAddress address, StreamLimits limits, Listener listener) {
-    return new DiscoveryStream(bootstrap, address, LIST_PATH, false, limits, listener);
-  }
-
-  /** Creates a call for the list, if it is newer than a revision, and for all later changes. */
-  static DiscoveryStream newWatch(
-      Bootstrap bootstrap,
-      InetSocketAddress address,
-      long sinceRevision,
-      StreamLimits limits,
-      Listener listener) {
-    String uri = LIST_PATH + "?follow=1&since=" + sinceRevision;
-    return new DiscoveryStream(bootstrap, address, uri, true, limits, listener);
-  }
-
   /** Connects and sends the request. */
   void open() {
-    ChannelFuture connect = bootstrap.clone().handler(new PipelineInitializer()).connect(address);
+    ChannelFuture connect =
+        bootstrap.clone().handler(new PipelineInitializer()).connect(request.address());
     if (connect.isDone() && !connect.isSuccess()) {
       // No socket could be opened. Netty would notify a listener on a thread other than the loop's.
       eventLoop().execute(() -> fail(DiscoveryFailure.NO_SOCKET, null));
@@ -132,10 +101,7 @@
   }
 
   private void sendRequest() {
-    HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
-    String host = address.getAddress().getHostAddress() + ":" + address.getPort();
-    request.headers().set(HttpHeaderNames.HOST, host);
-    channel.writeAndFlush(request);
+    channel.writeAndFlush(request.toHttp());
     limits.requestSent();
   }
 
@@ -201,7 +167,7 @@
   }
 
   private void responseEnded() {
-    if (limits.hasReceivedList() && !isWatch) {
+    if (limits.hasReceivedList() && !request.isWatch()) {
       stop();
     }
     fail(DiscoveryFailure.STREAM_ENDED, null);
--- a/src/main/java/loadbalancer/upstream/IdleConnections.java
+++ b/src/main/java/loadbalancer/upstream/IdleConnections.java
@@ -7,6 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongPredicate;
+import java.util.logging.Logger;
+import loadbalancer.net.BoundedLog;
 
 /**
  * The idle connections of all endpoints. Decides which of them may be reused for another call, and
@@ -15,6 +17,9 @@
  */
 final class IdleConnections {
 
+  private static final BoundedLog SURPLUS_RESPONSES =
+      new BoundedLog(Logger.getLogger(IdleConnections.class.getName()));
+
   /**
    * The idle timeout of this process as a fraction of the upstreams' idle timeout. It is below 1
    * because a request that is sent while the upstream closes the connection is reset.
@@ -98,9 +103,10 @@
     reusePolicy.recordReuse(System.nanoTime(), idleNanos, hasBroken);
   }
 
-  /** Counts a connection on which bytes followed a complete response. */
-  void recordSurplusResponse() {
+  /** Counts and logs a connection on which bytes followed a complete response. */
+  void recordSurplusResponse(SocketAddress address) {
     surplusResponses++;
+    SURPLUS_RESPONSES.warn("surplus_response address=" + address, null);
   }
 
   /** Returns the number of such connections since the last call. */
--- a/src/main/java/loadbalancer/upstream/UpstreamConnection.java
+++ b/src/main/java/loadbalancer/upstream/UpstreamConnection.java
@@ -29,9 +29,6 @@
   private static final BoundedLog FAILURES =
       new BoundedLog(Logger.getLogger(UpstreamConnection.class.getName()));
 
-  private static final BoundedLog SURPLUS_RESPONSES =
-      new BoundedLog(Logger.getLogger(UpstreamConnection.class.getName()));
-
   /** The maximum number of 1xx responses before the final response. */
   private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
@@ -150,7 +147,7 @@
   /** Closes the connection after bytes arrived that do not belong to a response to its call. */
   void rejectUnexpectedBytes() {
     if (call == null) {
-      recordSurplusResponse();
+      idleConnections.recordSurplusResponse(channel.remoteAddress());
     }
     idleConnections.recordUnexpectedBytes(this);
     abort();
@@ -198,7 +195,7 @@
       status = AttemptStatus.RESET;
     }
     if (decoder.hasUndecodedBytes()) {
-      recordSurplusResponse();
+      idleConnections.recordSurplusResponse(channel.remoteAddress());
       channel.close();
     } else if (status != AttemptStatus.RESET && isReusableAfter(completed, response)) {
       idleSinceNanos = System.nanoTime();
@@ -218,12 +215,6 @@
         && isEndpointReady.test(endpointId);
   }
 
-  /** Counts and logs that bytes followed a complete response. */
-  private void recordSurplusResponse() {
-    idleConnections.recordSurplusResponse();
-    SURPLUS_RESPONSES.warn("surplus_response address=" + channel.remoteAddress(), null);
-  }
-
   @Override
   public void channelInactive(ChannelHandlerContext context) {
     if (call != null && !call.isDone() && !startCheck.hasResponseStarted()) {
--- a/src/test/java/loadbalancer/decision/RequestLifecycleTest.java
+++ b/src/test/java/loadbalancer/decision/RequestLifecycleTest.java
@@ -62,7 +62,10 @@
     String queuedId = queued;
     assertTrue(
         actions.stream()
-            .anyMatch(a -> a instanceof RejectRequest r && r.requestId().equals(queuedId)));
+            .anyMatch(
+                action ->
+                    action instanceof RejectRequest rejection
+                        && rejection.requestId().equals(queuedId)));
   }
 
   @Test
