--- a/soak/src/main/java/loadbalancer/soak/DisruptionInjector.java
+++ b/soak/src/main/java/loadbalancer/soak/DisruptionInjector.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import loadbalancer.soak.FaultControl.Call;
 import loadbalancer.soak.FaultControl.Errno;
 
@@ -34,20 +33,20 @@
 
   private final List<ProxyNode> proxies;
   private final EndpointFleet endpoints;
-  private final EndpointCatalogue catalogue;
-  private final AtomicInteger outages = new AtomicInteger();
+  private final DiscoveryDisruptions discovery;
+
   private final ExecutorService executor = Executors.newCachedThreadPool();
 
   DisruptionInjector(
       List<ProxyNode> proxies, EndpointFleet endpoints, EndpointCatalogue catalogue) {
     this.proxies = proxies;
     this.endpoints = endpoints;
-    this.catalogue = catalogue;
+    discovery = new DiscoveryDisruptions(proxies, endpoints, catalogue);
   }
 
   /** Returns whether discovery is down, in which case no agent receives changes. */
   boolean isDiscoveryDown() {
-    return outages.get() > 0;
+    return discovery.isDown();
   }
 
   /** Starts a disruption and returns without waiting for its end. */
@@ -85,7 +84,7 @@
       case RELOAD -> reload(proxy, 1);
       case RELOAD_TWICE -> reload(proxy, 2);
       case RELOAD_AND_RESTART -> reloadAndRestart(proxy, millis);
-      case DISCOVERY_DOWN -> takeDiscoveryDown(2 * millis);
+      case DISCOVERY_DOWN -> discovery.takeDown(2 * millis);
       case WATCHES_SILENT -> proxy.silenceWatches();
       case WATCHES_RESET -> proxy.agent().resetWatches();
       case COMPLETE_LISTS -> {
@@ -93,7 +92,7 @@
         proxy.agent().resetWatches();
       }
       case RELEASE -> endpoints.replace(disruption.target());
-      case RELEASE_ALL -> releaseAll();
+      case RELEASE_ALL -> discovery.releaseAll();
       case ENDPOINT_RESTART -> endpoints.restart(disruption.target(), millis);
       case ENDPOINT_MODE ->
           endpoints.runInMode(disruption.target(), selectMode(disruption), millis);
@@ -168,27 +167,6 @@
     new HostileClients(proxy.process().port(), variant, disruption.durationMillis()).run();
   }
 
-  private void takeDiscoveryDown(long millis) throws InterruptedException {
-    if (outages.getAndIncrement() == 0) {
-      proxies.forEach(proxy -> proxy.agent().setDown(true));
-    }
-    Thread.sleep(millis);
-    if (outages.decrementAndGet() == 0) {
-      proxies.forEach(proxy -> proxy.agent().setDown(false));
-      proxies.forEach(proxy -> proxy.deliver(catalogue.revision()));
-    }
-  }
-
-  private void releaseAll() throws InterruptedException {
-    proxies.forEach(proxy -> proxy.agent().setStartsWithCompleteList(true));
-    proxies.forEach(proxy -> proxy.agent().setEndsWatchesOnChange(true));
-    try {
-      endpoints.replaceAll();
-    } finally {
-      proxies.forEach(proxy -> proxy.agent().setEndsWatchesOnChange(false));
-    }
-  }
-
   private static FakeUpstream.Mode selectMode(Disruption disruption) {
     FakeUpstream.Mode[] modes = FakeUpstream.Mode.values();
     return modes[1 + disruption.variant() % (modes.length - 1)];
